--- /dev/null
+++ b/Makefile
@@ -0,0 +1,64 @@
+# One entry a task. `make test` is what a developer runs; .ci/run adds the
+# formatter, the linter, the race detector and the checks of generated code.
+
+TOOLS := $(CURDIR)/.tools
+MODULES := . cmd/savorydeal cmd/savorydeal-bench cmd/savorydeal-node
+GOLANGCI_VERSION := v2.15.0
+OGEN_VERSION := v1.25.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+FUZZ_TIME ?= 10m
+SEED ?= 1
+FOR ?= 5m
+
+.PHONY: demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden fuzz
+
+demo:
+	go run ./cmd/savorydeal-bench demo
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+build:
+	@for module in $(MODULES); do (cd $$module && go build ./... && go vet ./...) || exit 1; done
+
+lint-tools:
+	@test -x $(TOOLS)/golangci-lint || GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+fmt: lint-tools
+	@for module in $(MODULES); do (cd $$module && $(TOOLS)/golangci-lint fmt ./...) || exit 1; done
+
+fmt-check: lint-tools
+	@for module in $(MODULES); do (cd $$module && $(TOOLS)/golangci-lint fmt --diff ./...) || exit 1; done
+
+lint: lint-tools
+	@for module in $(MODULES); do (cd $$module && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+
+generate-tools:
+	@test -x $(TOOLS)/ogen || GOBIN=$(TOOLS) go install github.com/ogen-go/ogen/cmd/ogen@$(OGEN_VERSION)
+	@test -x $(TOOLS)/buf || GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	@test -x $(TOOLS)/protoc-gen-go || GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+
+generate: generate-tools
+	@for api in operator platform target; do \
+		$(TOOLS)/ogen --config api/ogen.yml --clean --package sd$${api}api --target internal/sd$${api}api api/$$api.yaml || exit 1; \
+	done
+	@cd api && PATH=$(TOOLS):$$PATH buf lint && PATH=$(TOOLS):$$PATH buf generate
+
+# Fails if the committed code differs from what the schemas give.
+generate-check: generate
+	git diff --exit-code -- internal/sdoperatorapi internal/sdplatformapi internal/sdtargetapi internal/sdpeerpb
+
+# Rewrites the golden files from what the code gives now.
+golden:
+	go test ./... -update-golden
+
+measure:
+	@mkdir -p docs/measurements
+	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
+
+fuzz:
+	go test ./internal/sdwire -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZ_TIME)
--- /dev/null
+++ b/internal/sdcli/policy.go
@@ -0,0 +1,235 @@
+package sdcli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+)
+
+// maxPolicyBytes bounds a policy file.
+const maxPolicyBytes = 1 << 20
+
+func runList(ctx context.Context, c *client) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := c.api.ListPolicies(ctx)
+	if err != nil {
+		return err
+	}
+	if c.json() {
+		return c.printJSON(list)
+	}
+	rows := [][]string{{"SERVICE", "VERSION", "CHANGED", "OPERATIONS"}}
+	for _, record := range list.Policies {
+		rows = append(rows, []string{
+			record.Service, fmt.Sprint(record.Version), record.ChangedAt.Format(time.RFC3339),
+			fmt.Sprint(len(record.Policy.Value.Operations)),
+		})
+	}
+	return c.printTable(rows)
+}
+
+func runGet(ctx context.Context, c *client) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record, err := c.api.GetPolicy(ctx, sdoperatorapi.GetPolicyParams{Service: c.options.service})
+	if err != nil {
+		return err
+	}
+	if record.Stale.Or(false) {
+		_, _ = fmt.Fprintln(c.stderr, "savorydeal: the platform cannot be read; this is what the node has in force")
+	}
+	if c.json() {
+		return c.printJSON(record)
+	}
+	rows := [][]string{{"OPERATION", "METHODS", "PATH", "CLASS", "IDEMPOTENT", "RETRIES", "TIMEOUT"}}
+	for _, operation := range record.Policy.Value.Operations {
+		rows = append(rows, []string{
+			operation.Name, fmt.Sprint(operation.Methods), operation.PathPrefix, operation.Class,
+			fmt.Sprint(operation.Idempotent), fmt.Sprint(operation.MaxRetries.Or(0)),
+			(time.Duration(operation.TimeoutMs.Or(0)) * time.Millisecond).String(),
+		})
+	}
+	_, _ = fmt.Fprintf(c.stdout, "%s version %d, changed %s\n", record.Service, record.Version, record.ChangedAt.Format(time.RFC3339))
+	return c.printTable(rows)
+}
+
+func runHistory(ctx context.Context, c *client) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	history, err := c.api.GetPolicyHistory(ctx, sdoperatorapi.GetPolicyHistoryParams{Service: c.options.service})
+	if err != nil {
+		return err
+	}
+	if c.json() {
+		return c.printJSON(history)
+	}
+	rows := [][]string{{"VERSION", "CHANGED", "CHANGE", "DELETED"}}
+	for _, record := range history.Changes {
+		rows = append(rows, []string{
+			fmt.Sprint(record.Version), record.ChangedAt.Format(time.RFC3339), record.ChangeID, fmt.Sprint(record.Deleted),
+		})
+	}
+	return c.printTable(rows)
+}
+
+func runPut(ctx context.Context, c *client) error {
+	policy, err := c.readPolicy()
+	if err != nil {
+		return err
+	}
+	c.options.service = policy.Service
+	if err := c.fillChange(ctx); err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record, err := c.api.PutPolicy(call, &sdoperatorapi.PolicyChange{
+		ExpectedVersion: c.options.expected,
+		ChangeID:        c.options.changeID,
+		Policy:          policy,
+	}, sdoperatorapi.PutPolicyParams{Service: policy.Service})
+	if err != nil {
+		return fmt.Errorf("change %s: %w", c.options.changeID, err)
+	}
+	return c.finishChange(ctx, record)
+}
+
+func runDelete(ctx context.Context, c *client) error {
+	if err := c.fillChange(ctx); err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record, err := c.api.DeletePolicy(call, sdoperatorapi.DeletePolicyParams{
+		Service:         c.options.service,
+		ExpectedVersion: c.options.expected,
+		ChangeID:        c.options.changeID,
+	})
+	if err != nil {
+		return fmt.Errorf("change %s: %w", c.options.changeID, err)
+	}
+	return c.finishChange(ctx, record)
+}
+
+func (c *client) readPolicy() (sdoperatorapi.Policy, error) {
+	var policy sdoperatorapi.Policy
+	input := c.stdin
+	if c.options.file != "-" {
+		file, err := os.Open(c.options.file)
+		if err != nil {
+			return policy, &usageError{text: err.Error()}
+		}
+		defer file.Close()
+		input = file
+	}
+	text, err := io.ReadAll(io.LimitReader(input, maxPolicyBytes))
+	if err != nil {
+		return policy, &usageError{text: fmt.Sprintf("read the policy: %v", err)}
+	}
+	if err := policy.UnmarshalJSON(text); err != nil {
+		return policy, &usageError{text: fmt.Sprintf("%s is no policy: %v", c.options.file, err)}
+	}
+	return policy, nil
+}
+
+// fillChange takes the newest version as the one expected and draws a change
+// id where the command line gives none.
+func (c *client) fillChange(ctx context.Context) error {
+	if c.options.changeID == "" {
+		c.options.changeID = uuid.NewString()
+	}
+	if c.options.expected >= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record, err := c.api.GetPolicy(ctx, sdoperatorapi.GetPolicyParams{Service: c.options.service})
+	var problem *sdoperatorapi.ProblemStatusCode
+	switch {
+	case errors.As(err, &problem) && problem.StatusCode == http.StatusNotFound:
+		c.options.expected = 0
+	case err != nil:
+		return err
+	default:
+		c.options.expected = record.Version
+	}
+	return nil
+}
+
+func (c *client) finishChange(ctx context.Context, record *sdoperatorapi.PolicyRecord) error {
+	_, _ = fmt.Fprintf(c.stderr, "accepted %s version %d (change %s)\n", record.Service, record.Version, record.ChangeID)
+	c.options.version = record.Version
+	if c.options.wait == 0 {
+		return nil
+	}
+	return runWait(ctx, c)
+}
+
+// progressInterval is how often waiting reports its progress.
+const progressInterval = 500 * time.Millisecond
+
+func runWait(ctx context.Context, c *client) error {
+	if c.options.version == 0 {
+		if err := c.newestVersion(ctx); err != nil {
+			return err
+		}
+	}
+	end := time.Now().Add(c.options.wait)
+	for {
+		wait := min(progressInterval, max(0, time.Until(end)))
+		seen, err := c.waitOnce(ctx, wait)
+		if err != nil {
+			return err
+		}
+		done := len(seen.Lagging) == 0
+		if done || !time.Now().Before(end) {
+			return c.finishWait(seen)
+		}
+		_, _ = fmt.Fprintf(c.stderr, "in force at %d nodes, %d lagging, %d unreachable\n", seen.InForce, len(seen.Lagging), len(seen.Unreachable))
+	}
+}
+
+func (c *client) newestVersion(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record, err := c.api.GetPolicy(ctx, sdoperatorapi.GetPolicyParams{Service: c.options.service})
+	if err != nil {
+		return err
+	}
+	c.options.version = record.Version
+	return nil
+}
+
+func (c *client) waitOnce(ctx context.Context, wait time.Duration) (*sdoperatorapi.InForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return c.api.WaitInForce(ctx, sdoperatorapi.WaitInForceParams{
+		Service: c.options.service,
+		Version: c.options.version,
+		WaitMs:  wait.Milliseconds(),
+	})
+}
+
+func (c *client) finishWait(seen *sdoperatorapi.InForce) error {
+	if c.json() {
+		if err := c.printJSON(seen); err != nil {
+			return err
+		}
+	} else {
+		_, _ = fmt.Fprintf(c.stdout, "%s version %d: in force at %d nodes, %d lagging, %d unreachable\n",
+			seen.Service, seen.Version, seen.InForce, len(seen.Lagging), len(seen.Unreachable))
+	}
+	if len(seen.Lagging) > 0 {
+		return &laggingError{lagging: len(seen.Lagging)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sdcommand/node.go
@@ -0,0 +1,105 @@
+// Package sdcommand builds the command lines of the programs.
+package sdcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/integrii/flaggy"
+
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdnode"
+	"github.com/savorydeal/savorydeal/internal/sdsettings"
+)
+
+// Version is the version of the programs. The build sets it.
+var Version = "0.1.0"
+
+// Exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitUnknown  = 4
+	ExitLagging  = 5
+	ExitForced   = 6
+)
+
+// RunNode runs the node with the arguments and returns its exit code.
+func RunNode(arguments []string, environment func(string) (string, bool), stderr io.Writer) int {
+	settings, mistakes := readSettings(arguments, environment)
+	if len(mistakes) > 0 {
+		for _, mistake := range mistakes {
+			_, _ = fmt.Fprintln(stderr, "savorydeal-node:", mistake)
+		}
+		return ExitUsage
+	}
+	log := NewLogger("savorydeal-node", settings.LogLevel, stderr)
+	seed, err := sdnode.NewSeed()
+	if err != nil {
+		log.Error("node failed", "error", err)
+		return ExitFailed
+	}
+	ctx, stop := stopSignals(log)
+	defer stop()
+	node := sdnode.New(settings, Version, seed, sdclock.System{}, log)
+	if err := node.Run(ctx); err != nil {
+		log.Error("node failed", "error", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// NewLogger returns a logger that writes one line of key=value pairs an event.
+func NewLogger(name, level string, w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:              name,
+		Level:             hclog.LevelFromString(level),
+		Output:            w,
+		IndependentLevels: true,
+	})
+}
+
+// stopSignals ends the context at the first signal; the second ends the
+// process at once.
+func stopSignals(log hclog.Logger) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		log.Warn("second signal: stopping at once")
+		os.Exit(ExitForced)
+	}()
+	return ctx, cancel
+}
+
+// readSettings takes each setting from its flag, else its variable, else its
+// default.
+func readSettings(arguments []string, environment func(string) (string, bool)) (sdsettings.Settings, []sdsettings.Error) {
+	parser := flaggy.NewParser("savorydeal-node")
+	parser.Description = "one process of the overload control layer, in the slot of a target VM"
+	parser.Version = Version
+	parser.AdditionalHelpAppend = "\nEvery flag can be given as a variable, such as SAVORYDEAL_PEER_ADDRESS; the flag goes first."
+	texts := make(map[string]*string)
+	for _, setting := range sdsettings.All() {
+		text := setting.Default
+		if value, ok := environment(setting.Env()); ok {
+			text = value
+		}
+		texts[setting.Flag] = &text
+		parser.String(&text, "", setting.Flag, setting.Help)
+	}
+	if err := parser.ParseArgs(arguments); err != nil {
+		return sdsettings.Settings{}, []sdsettings.Error{{Problem: err}}
+	}
+	return sdsettings.Parse(func(setting sdsettings.Setting) string { return *texts[setting.Flag] })
+}
--- /dev/null
+++ b/internal/sdentry/request.go
@@ -0,0 +1,138 @@
+package sdentry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdbody"
+	"github.com/savorydeal/savorydeal/internal/sdheader"
+)
+
+const (
+	maxKeyBytes    = 255
+	maxCallerBytes = 128
+	maxDeadline    = time.Hour
+)
+
+var (
+	servicePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+	printable      = regexp.MustCompile(`^[\x21-\x7e]+$`)
+)
+
+// request is what the headers of a request say.
+type request struct {
+	service string
+	caller  string
+	key     string
+	chain   string
+	// timeout is the caller's remaining time, zero if it states none.
+	timeout time.Duration
+	headers []savorydeal.Header
+}
+
+func parse(r *http.Request) (request, *savorydeal.Refusal) {
+	for _, name := range []string{
+		sdheader.Key, sdheader.DeadlineMS, sdheader.Service,
+		sdheader.Caller, sdheader.Chain,
+	} {
+		if len(r.Header.Values(name)) > 1 {
+			return request{}, badField(name, "is given more than once; send it once")
+		}
+	}
+	parsed := request{
+		service: serviceOf(r),
+		caller:  callerOf(r),
+		key:     r.Header.Get(sdheader.Key),
+		chain:   r.Header.Get(sdheader.Chain),
+		headers: sdheader.Passed(r.Header),
+	}
+	if !servicePattern.MatchString(parsed.service) {
+		return request{}, badField("Host", "does not name a service; use lower-case letters, digits, dots and hyphens")
+	}
+	if refusal := checkText(sdheader.Key, parsed.key, maxKeyBytes); refusal != nil {
+		return parsed, refusal
+	}
+	if refusal := checkText(sdheader.Caller, parsed.caller, maxCallerBytes); refusal != nil {
+		return parsed, refusal
+	}
+	timeout, refusal := timeoutOf(r.Header.Get(sdheader.DeadlineMS))
+	parsed.timeout = timeout
+	return parsed, refusal
+}
+
+func badField(field, remedy string) *savorydeal.Refusal {
+	return notRun(savorydeal.ReasonBadRequest, "header "+field+" "+remedy)
+}
+
+func checkText(field, value string, limit int) *savorydeal.Refusal {
+	if value == "" {
+		return nil
+	}
+	if len(value) > limit || !printable.MatchString(value) {
+		return badField(field, fmt.Sprintf("must be 1 to %d printable ASCII characters without spaces", limit))
+	}
+	return nil
+}
+
+func serviceOf(r *http.Request) string {
+	if service := r.Header.Get(sdheader.Service); service != "" {
+		return service
+	}
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return host
+}
+
+func callerOf(r *http.Request) string {
+	if caller := r.Header.Get(sdheader.Caller); caller != "" {
+		return caller
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return "unknown"
+	}
+	return host
+}
+
+func timeoutOf(value string) (time.Duration, *savorydeal.Refusal) {
+	if value == "" {
+		return 0, nil
+	}
+	milliseconds, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || milliseconds < 1 || milliseconds > maxDeadline.Milliseconds() {
+		return 0, badField(sdheader.DeadlineMS,
+			fmt.Sprintf("must be the remaining time in milliseconds, 1 to %d", maxDeadline.Milliseconds()))
+	}
+	return time.Duration(milliseconds) * time.Millisecond, nil
+}
+
+// readBody returns the body of the call. The body of a keyed call is read
+// whole, since the record of its key holds the body's digest.
+func readBody(w http.ResponseWriter, r *http.Request, call *savorydeal.Call) (io.ReadCloser, *savorydeal.Refusal) {
+	limited := http.MaxBytesReader(w, r.Body, call.Operation.MaxBodyBytes)
+	if call.Operation.Idempotent || call.Key == "" {
+		return limited, nil
+	}
+	whole, err := sdbody.ReadWhole(limited, call.Operation.MaxBodyBytes)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, notRun(savorydeal.ReasonBodyTooLarge, "the body is larger than max_body_bytes of the operation")
+	}
+	if err != nil {
+		return nil, notRun(savorydeal.ReasonCanceled, "the body was not received: "+err.Error())
+	}
+	call.ContentLength = int64(len(whole))
+	call.BodyDigest = sha256.Sum256(whole)
+	return io.NopCloser(bytes.NewReader(whole)), nil
+}
--- /dev/null
+++ b/internal/sdlink/link.go
@@ -0,0 +1,246 @@
+// Package sdlink keeps the links between nodes: one yamux session for each
+// peer, opened on first use, with one stream for each call or exchange.
+package sdlink
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
+	"github.com/savorydeal/savorydeal/internal/sdwire"
+)
+
+const (
+	dialTimeout        = time.Second
+	keepAliveInterval  = time.Second
+	streamWriteTimeout = 5 * time.Second
+	acceptBacklog      = 1024
+	streamWindowBytes  = 256 << 10
+)
+
+// Kind says what a stream is for.
+type Kind string
+
+// Kinds of streams.
+const (
+	// KindCall carries a call to the node of the target that is to run it.
+	KindCall Kind = "call"
+	// KindKeyed carries a keyed call to the node that owns its key.
+	KindKeyed Kind = "keyed"
+	// KindControl carries one exchange of control messages.
+	KindControl Kind = "control"
+)
+
+// Identity is what a node says of itself on every stream.
+type Identity struct {
+	Node       savorydeal.NodeID
+	Generation uint64
+}
+
+// Stream is one exchange with a peer.
+type Stream struct {
+	*sdwire.Conn
+	// Peer is what the other side says of itself; on an opened stream it is
+	// known only after ReadOpen.
+	Peer Identity
+	raw  *yamux.Stream
+}
+
+// SetReadDeadline bounds all later reads.
+func (s *Stream) SetReadDeadline(deadline time.Time) error {
+	return s.raw.SetReadDeadline(deadline)
+}
+
+// Abort closes the stream and fails a Read that is waiting on it.
+func (s *Stream) Abort() error {
+	_ = s.raw.SetReadDeadline(time.Unix(1, 0))
+	return s.raw.Close()
+}
+
+// Handler serves one stream that a peer has opened. The stream is closed when
+// it returns. ctx ends when the link goes down or the node stops.
+type Handler func(ctx context.Context, stream *Stream)
+
+// Links holds the sessions to all peers. It is safe for concurrent use.
+type Links struct {
+	identity Identity
+	log      hclog.Logger
+	handlers map[Kind]Handler
+
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+	pending  map[string]*dial
+	accepted map[*yamux.Session]struct{}
+	closed   bool
+}
+
+type dial struct {
+	done    chan struct{}
+	session *yamux.Session
+	err     error
+}
+
+// New returns a Links without sessions. Handlers are set before Serve.
+func New(identity Identity, log hclog.Logger) *Links {
+	return &Links{
+		identity: identity,
+		log:      log,
+		handlers: make(map[Kind]Handler),
+		sessions: make(map[string]*yamux.Session),
+		pending:  make(map[string]*dial),
+		accepted: make(map[*yamux.Session]struct{}),
+	}
+}
+
+// Handle sets the handler of a kind of stream.
+func (l *Links) Handle(kind Kind, handler Handler) {
+	l.handlers[kind] = handler
+}
+
+func sessionConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
+	cfg.KeepAliveInterval = keepAliveInterval
+	cfg.ConnectionWriteTimeout = streamWriteTimeout
+	cfg.MaxStreamWindowSize = streamWindowBytes
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Open starts a stream of the kind to the peer at the address. The caller
+// writes its messages at once; ReadOpen comes before the first Read.
+func (l *Links) Open(ctx context.Context, address string, kind Kind) (*Stream, error) {
+	session, err := l.session(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := session.OpenStream()
+	if err != nil {
+		l.drop(address, session)
+		return nil, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	stream := &Stream{Conn: sdwire.NewConn(raw), raw: raw}
+	if err := stream.Write(l.open(kind)); err != nil {
+		return nil, fmt.Errorf("open stream to %s: %w", address, err)
+	}
+	return stream, nil
+}
+
+func (l *Links) open(kind Kind) *sdpeerpb.StreamOpen {
+	return &sdpeerpb.StreamOpen{
+		Version:       sdwire.ProtocolVersion,
+		OldestVersion: sdwire.OldestProtocolVersion,
+		Kind:          string(kind),
+		Node:          string(l.identity.Node),
+		Generation:    l.identity.Generation,
+	}
+}
+
+// ReadOpen reads the peer's first message. It fails if the peer refuses the
+// stream.
+func (s *Stream) ReadOpen() error {
+	var open sdpeerpb.StreamOpen
+	if err := s.Read(&open); err != nil {
+		return fmt.Errorf("read the peer's opening: %w", err)
+	}
+	if open.GetError() != "" {
+		return fmt.Errorf("peer %s refuses the stream: %s", open.GetNode(), open.GetError())
+	}
+	s.Peer = Identity{Node: savorydeal.NodeID(open.GetNode()), Generation: open.GetGeneration()}
+	return nil
+}
+
+func (l *Links) session(ctx context.Context, address string) (*yamux.Session, error) {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil, fmt.Errorf("open link to %s: links are closed", address)
+	}
+	if session := l.sessions[address]; session != nil && !session.IsClosed() {
+		l.mu.Unlock()
+		return session, nil
+	}
+	attempt := l.pending[address]
+	if attempt == nil {
+		attempt = &dial{done: make(chan struct{})}
+		l.pending[address] = attempt
+		go l.dial(address, attempt)
+	}
+	l.mu.Unlock()
+
+	select {
+	case <-attempt.done:
+		return attempt.session, attempt.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("open link to %s: %w", address, ctx.Err())
+	}
+}
+
+func (l *Links) dial(address string, attempt *dial) {
+	attempt.session, attempt.err = connect(address)
+	l.mu.Lock()
+	delete(l.pending, address)
+	if attempt.err == nil && l.closed {
+		attempt.err = fmt.Errorf("open link to %s: links are closed", address)
+		_ = attempt.session.Close()
+	}
+	if attempt.err == nil {
+		l.sessions[address] = attempt.session
+	}
+	l.mu.Unlock()
+	close(attempt.done)
+}
+
+func connect(address string) (*yamux.Session, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("open link to %s: %w", address, err)
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("start session with %s: %w", address, err)
+	}
+	return session, nil
+}
+
+func (l *Links) drop(address string, session *yamux.Session) {
+	l.mu.Lock()
+	if l.sessions[address] == session {
+		delete(l.sessions, address)
+	}
+	l.mu.Unlock()
+	_ = session.Close()
+}
+
+// Close ends all sessions, those of peers included.
+func (l *Links) Close() {
+	l.mu.Lock()
+	l.closed = true
+	sessions := make([]*yamux.Session, 0, len(l.sessions)+len(l.accepted))
+	for _, session := range l.sessions {
+		sessions = append(sessions, session)
+	}
+	for session := range l.accepted {
+		sessions = append(sessions, session)
+	}
+	l.mu.Unlock()
+	for _, session := range sessions {
+		_ = session.Close()
+	}
+}
+
+// Count returns the number of open sessions that this node has dialled.
+func (l *Links) Count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sessions)
+}
--- /dev/null
+++ b/internal/sdlink/serve.go
@@ -0,0 +1,120 @@
+package sdlink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
+	"github.com/savorydeal/savorydeal/internal/sdwire"
+)
+
+const openTimeout = 2 * time.Second
+
+// Serve accepts links until the listener is closed.
+func (l *Links) Serve(ctx context.Context, listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept link: %w", err)
+		}
+		go l.serveConn(ctx, conn)
+	}
+}
+
+func (l *Links) serveConn(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, sessionConfig())
+	if err != nil {
+		_ = conn.Close()
+		l.log.Warn("link refused", "remote", conn.RemoteAddr().String(), "error", err)
+		return
+	}
+	if !l.accept(session) {
+		return
+	}
+	defer l.forget(session)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for {
+		raw, err := session.AcceptStream()
+		if err != nil {
+			l.logEnd(conn, err)
+			return
+		}
+		go l.serveStream(ctx, raw)
+	}
+}
+
+func (l *Links) accept(session *yamux.Session) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = session.Close()
+		return false
+	}
+	l.accepted[session] = struct{}{}
+	return true
+}
+
+func (l *Links) forget(session *yamux.Session) {
+	l.mu.Lock()
+	delete(l.accepted, session)
+	l.mu.Unlock()
+	_ = session.Close()
+}
+
+// logEnd tells bytes that are not this protocol from a link that went away.
+func (l *Links) logEnd(conn net.Conn, err error) {
+	if errors.Is(err, yamux.ErrInvalidVersion) || errors.Is(err, yamux.ErrInvalidMsgType) {
+		l.log.Warn("link refused: the peer does not speak the nodes' protocol; check that only nodes connect to the peer address",
+			"remote", conn.RemoteAddr().String(), "error", err)
+		return
+	}
+	l.log.Debug("link ended", "remote", conn.RemoteAddr().String(), "error", err)
+}
+
+func (l *Links) serveStream(ctx context.Context, raw *yamux.Stream) {
+	defer raw.Close()
+	stream := &Stream{Conn: sdwire.NewConn(raw), raw: raw}
+	handler, err := l.readPeerOpen(stream)
+	if err != nil {
+		l.log.Warn("stream refused", "peer", string(stream.Peer.Node), "error", err)
+		refusal := l.open("")
+		refusal.Error = err.Error()
+		_ = stream.Send(refusal)
+		return
+	}
+	if err := stream.Write(l.open("")); err != nil {
+		return
+	}
+	handler(ctx, stream)
+	_ = stream.Flush()
+	_ = stream.SetReadDeadline(time.Now().Add(openTimeout))
+}
+
+func (l *Links) readPeerOpen(stream *Stream) (Handler, error) {
+	_ = stream.SetReadDeadline(time.Now().Add(openTimeout))
+	var open sdpeerpb.StreamOpen
+	if err := stream.Read(&open); err != nil {
+		return nil, err
+	}
+	_ = stream.SetReadDeadline(time.Time{})
+	stream.Peer = Identity{Node: savorydeal.NodeID(open.GetNode()), Generation: open.GetGeneration()}
+	if open.GetOldestVersion() > sdwire.ProtocolVersion || open.GetVersion() < sdwire.OldestProtocolVersion {
+		return nil, fmt.Errorf("field version: peer speaks %d to %d, this node %d to %d; upgrade the older of the two",
+			open.GetOldestVersion(), open.GetVersion(), sdwire.OldestProtocolVersion, sdwire.ProtocolVersion)
+	}
+	handler := l.handlers[Kind(open.GetKind())]
+	if handler == nil {
+		return nil, fmt.Errorf("field kind: this node does not serve streams of kind %q", open.GetKind())
+	}
+	return handler, nil
+}
--- /dev/null
+++ b/internal/sdnode/admin.go
@@ -0,0 +1,147 @@
+package sdnode
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdoperator"
+)
+
+func (n *Node) adminHandler(operators http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", operators)
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	return mux
+}
+
+func (n *Node) registerGauges() {
+	n.metrics.Gauge("target_running", "Calls running on this VM's target.", func() float64 {
+		return float64(n.admitter.Signal().Running)
+	})
+	n.metrics.Gauge("target_queued", "Calls waiting for this VM's target.", func() float64 {
+		return float64(n.admitter.Signal().Queued)
+	})
+	n.metrics.Gauge("target_limit", "Present concurrency limit of this VM's target.", func() float64 {
+		return float64(n.admitter.Signal().Limit)
+	})
+	n.metrics.Gauge("keys_held", "Keys remembered by this node.", func() float64 {
+		return float64(n.owner.Held())
+	})
+	n.metrics.Gauge("members_alive", "Nodes this node takes as alive.", func() float64 {
+		return float64(n.alive())
+	})
+	n.metrics.Gauge("policies_rejected", "Policies whose newest version this node cannot read.", func() float64 {
+		return float64(n.rejected.Load())
+	})
+}
+
+func (n *Node) alive() int {
+	alive := 0
+	for _, member := range n.Members() {
+		if member.State == savorydeal.MemberAlive {
+			alive++
+		}
+	}
+	return alive
+}
+
+// Status describes this node.
+func (n *Node) Status() sdoperator.Status {
+	return sdoperator.Status{
+		Self:              n.Members()[0],
+		Version:           n.version,
+		NodesAlive:        n.alive(),
+		Policies:          len(n.Policies().Records()),
+		PoliciesRejected:  int(n.rejected.Load()),
+		PlatformReachable: n.reachable.Load(),
+	}
+}
+
+// memberDump is the dump of one member.
+type memberDump struct {
+	Node        string `json:"node"`
+	Generation  uint64 `json:"generation"`
+	Incarnation uint64 `json:"incarnation"`
+	State       string `json:"state"`
+	Service     string `json:"service"`
+	TargetState string `json:"target_state"`
+	DataCentre  string `json:"data_centre"`
+}
+
+// policyDump is the dump of one policy.
+type policyDump struct {
+	Service        string `json:"service"`
+	NewestVersion  int64  `json:"newest_version"`
+	InForceVersion int64  `json:"in_force_version"`
+	Rejected       string `json:"rejected,omitempty"`
+}
+
+// targetDump is the dump of this VM's target.
+type targetDump struct {
+	State   string `json:"state"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Running int    `json:"running"`
+	Queued  int    `json:"queued"`
+	Limit   int    `json:"limit"`
+}
+
+// trafficDump is the dump of what is in flight.
+type trafficDump struct {
+	ChainsRunning int `json:"chains_running"`
+	KeysHeld      int `json:"keys_held"`
+	LinksOpen     int `json:"links_open"`
+}
+
+// Dump returns the state of this node by section.
+func (n *Node) Dump(ctx context.Context) []sdoperator.Section {
+	members := []memberDump{}
+	policies := []policyDump{}
+	var target targetDump
+	_ = n.do(ctx, func(c *control) {
+		for _, member := range c.roster.Members() {
+			members = append(members, dumpMember(member))
+		}
+		for _, object := range c.store.Objects() {
+			entry, _ := c.store.Entry(object.Name)
+			policies = append(policies, policyDump{
+				Service:        object.Name,
+				NewestVersion:  entry.Newest.Version,
+				InForceVersion: entry.InForce.Version,
+				Rejected:       entry.Rejected,
+			})
+		}
+		announcement := c.lease.Announcement()
+		target = targetDump{State: string(c.lease.State(n.clock.Now())), Service: announcement.Service, Address: announcement.Address}
+	})
+	signal := n.admitter.Signal()
+	target.Running, target.Queued, target.Limit = signal.Running, signal.Queued, signal.Limit
+	return []sdoperator.Section{
+		section("members", members),
+		section("policies", policies),
+		section("target", target),
+		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
+	}
+}
+
+func dumpMember(member savorydeal.Member) memberDump {
+	return memberDump{
+		Node:        string(member.Node),
+		Generation:  member.Generation,
+		Incarnation: member.Incarnation,
+		State:       string(member.State),
+		Service:     member.Service,
+		TargetState: string(member.TargetState),
+		DataCentre:  member.DataCentre,
+	}
+}
+
+func section(name string, value any) sdoperator.Section {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		encoded = []byte(`"not encodable"`)
+	}
+	return sdoperator.Section{Name: name, Value: encoded}
+}
--- /dev/null
+++ b/internal/sdnode/node.go
@@ -0,0 +1,229 @@
+// Package sdnode wires the decisions of a node to its addresses, links and
+// timers. One goroutine owns control state (control.go); others carry traffic.
+package sdnode
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdadmission"
+	"github.com/savorydeal/savorydeal/internal/sdannounce"
+	"github.com/savorydeal/savorydeal/internal/sdcarrier"
+	"github.com/savorydeal/savorydeal/internal/sdchain"
+	"github.com/savorydeal/savorydeal/internal/sdconfig"
+	"github.com/savorydeal/savorydeal/internal/sdentry"
+	"github.com/savorydeal/savorydeal/internal/sdkeyed"
+	"github.com/savorydeal/savorydeal/internal/sdkeys"
+	"github.com/savorydeal/savorydeal/internal/sdlimit"
+	"github.com/savorydeal/savorydeal/internal/sdlink"
+	"github.com/savorydeal/savorydeal/internal/sdmetrics"
+	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdpolicy"
+	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdrelay"
+	"github.com/savorydeal/savorydeal/internal/sdretry"
+	"github.com/savorydeal/savorydeal/internal/sdroster"
+	"github.com/savorydeal/savorydeal/internal/sdserve"
+	"github.com/savorydeal/savorydeal/internal/sdsettings"
+)
+
+// firstSlots bounds the calls on a target until it has announced its slots; no
+// call is admitted before that anyway.
+const firstSlots = 1
+
+// Node is one process of the system.
+type Node struct {
+	settings   sdsettings.Settings
+	version    string
+	clock      savorydeal.Clock
+	log        hclog.Logger
+	self       savorydeal.NodeID
+	generation uint64
+	random     *rand.Rand
+
+	events    chan controlEvent
+	control   control
+	policies  atomic.Pointer[sdpolicy.Table]
+	members   atomic.Pointer[[]savorydeal.Member]
+	rejected  atomic.Int64
+	reachable atomic.Bool
+
+	links     *sdlink.Links
+	placement *sdplacement.Chooser
+	gate      *sdserve.Gate
+	admitter  *sdserve.Admitter
+	server    *sdserve.Server
+	chains    *sdchain.Table
+	owner     *sdkeyed.Owner
+	router    *sdkeyed.Router
+	metrics   *sdmetrics.Metrics
+	ids       *identifiers
+}
+
+// New returns a node that has not started. seed feeds every random choice of
+// its decisions; identifiers come from the VM's own source.
+func New(settings sdsettings.Settings, version string, seed uint64, clock savorydeal.Clock, log hclog.Logger) *Node {
+	generation := uint64(clock.Now().UnixNano())
+	self := savorydeal.NodeID(settings.PeerAddress)
+	n := &Node{
+		settings:   settings,
+		version:    version,
+		clock:      clock,
+		log:        log,
+		self:       self,
+		generation: generation,
+		random:     rand.New(rand.NewPCG(seed, generation)),
+		events:     make(chan controlEvent, controlBacklog),
+		links:      sdlink.New(sdlink.Identity{Node: self, Generation: generation}, log.Named("link")),
+		gate:       sdserve.NewGate(),
+		metrics:    sdmetrics.New(),
+		ids:        newIdentifiers(),
+	}
+	n.control = control{
+		roster: sdroster.New(n.member(), settings.MeetingPoints, n.newRandom()),
+		store:  sdconfig.NewStore(sdrecord.DecodeValue),
+		lease:  sdannounce.NewLease(),
+	}
+	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.wireTraffic()
+	n.registerGauges()
+	return n
+}
+
+// newRandom returns a source of its own for one decision, since sources are
+// not safe for concurrent use.
+func (n *Node) newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
+}
+
+func (n *Node) member() savorydeal.Member {
+	return savorydeal.Member{
+		Node:        n.self,
+		Generation:  n.generation,
+		DataCentre:  n.settings.DataCentre,
+		Region:      n.settings.Region,
+		PeerAddress: n.settings.PeerAddress,
+		State:       savorydeal.MemberAlive,
+		TargetState: savorydeal.TargetAbsent,
+	}
+}
+
+// wireTraffic builds the path of a call: router, owner or relay, link, server.
+func (n *Node) wireTraffic() {
+	n.policies.Store(sdpolicy.NewTable(nil))
+	n.members.Store(&[]savorydeal.Member{n.member()})
+	n.chains = sdchain.NewTable(func(bits []byte) { _, _ = cryptorand.Read(bits) })
+	n.admitter = sdserve.NewAdmitter(n.clock, sdadmission.New(sdlimit.NewFixed(firstSlots)))
+	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
+	relay := &sdrelay.Relay{
+		Clock:      n.clock,
+		Placement:  n.placement,
+		Retries:    sdretry.New(n.newRandom()),
+		CarrierTo:  n.carrierTo,
+		RetryRatio: n.retryRatio,
+		NewTryID:   n.ids.next,
+	}
+	n.owner = sdkeyed.NewOwner(n.clock, sdkeys.New(), relay)
+	n.router = &sdkeyed.Router{
+		Self:    n.self,
+		Members: n.Members,
+		Owner:   n.owner,
+		Unkeyed: relay,
+		OwnerAt: n.ownerAt,
+	}
+	calls := &sdcarrier.Server{Carrier: n.server, Log: n.log.Named("call")}
+	keyed := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("keyed")}
+	n.links.Handle(sdlink.KindCall, calls.Serve)
+	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
+	n.links.Handle(sdlink.KindControl, n.serveControl)
+}
+
+// carrierTo reaches a member's target; this VM's own without a link.
+func (n *Node) carrierTo(member savorydeal.Member) savorydeal.Carrier {
+	if member.Node == n.self {
+		return n.server
+	}
+	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall}
+}
+
+func (n *Node) ownerAt(member savorydeal.Member) savorydeal.Carrier {
+	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed}
+}
+
+func (n *Node) retryRatio(service string) float64 {
+	record, ok := n.Policies().Policy(service)
+	if !ok {
+		return 0
+	}
+	return record.Policy.RetryRatio
+}
+
+// entry returns the handler of one side towards callers.
+func (n *Node) entry(side sdentry.Side) http.Handler {
+	return &sdentry.Entry{
+		Side:         side,
+		Clock:        n.clock,
+		Log:          n.log.Named("entry"),
+		Policies:     n.Policies,
+		Chains:       n.chains,
+		Next:         n.router,
+		NewRequestID: n.ids.next,
+		Observe:      n.metrics.Observe,
+	}
+}
+
+// Policies returns the policies in force at this node.
+func (n *Node) Policies() *sdpolicy.Table {
+	return n.policies.Load()
+}
+
+// Members returns this node's view of all nodes, itself first.
+func (n *Node) Members() []savorydeal.Member {
+	return *n.members.Load()
+}
+
+// Accepted takes and spreads an object that the platform has just taken.
+func (n *Node) Accepted(ctx context.Context, object savorydeal.Object) {
+	n.apply(context.WithoutCancel(ctx), []savorydeal.Object{object})
+}
+
+// identifiers draws names that are never used twice: bits drawn at the start
+// of the process, then a counter.
+type identifiers struct {
+	prefix  string
+	mu      sync.Mutex
+	counter uint64
+}
+
+func newIdentifiers() *identifiers {
+	var bits [12]byte
+	_, _ = cryptorand.Read(bits[:])
+	return &identifiers{prefix: hex.EncodeToString(bits[:]) + "-"}
+}
+
+func (i *identifiers) next() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.counter++
+	return i.prefix + strconv.FormatUint(i.counter, 36)
+}
+
+// NewSeed draws a seed from the VM's own source.
+func NewSeed() (uint64, error) {
+	var bits [8]byte
+	if _, err := cryptorand.Read(bits[:]); err != nil {
+		return 0, fmt.Errorf("draw a seed: %w", err)
+	}
+	return binary.BigEndian.Uint64(bits[:]), nil
+}
--- /dev/null
+++ b/internal/sdplatform/client.go
@@ -0,0 +1,129 @@
+// Package sdplatform is the client of the platform's object API.
+package sdplatform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdplatformapi"
+)
+
+const (
+	// callTimeout bounds one call.
+	callTimeout = 3 * time.Second
+	// watchGrace is how much longer than its wait a watch may take.
+	watchGrace = 3 * time.Second
+)
+
+// Client is the savorydeal.Platform of a node.
+type Client struct {
+	api *sdplatformapi.Client
+}
+
+var _ savorydeal.Platform = (*Client)(nil)
+
+// New returns a client of the platform at the URL.
+func New(url string) (*Client, error) {
+	api, err := sdplatformapi.NewClient(url, sdplatformapi.WithClient(&http.Client{}))
+	if err != nil {
+		return nil, fmt.Errorf("platform at %s: %w", url, err)
+	}
+	return &Client{api: api}, nil
+}
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, kind, name string) (savorydeal.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	object, err := c.api.GetObject(ctx, sdplatformapi.GetObjectParams{Kind: kind, Name: name})
+	if err != nil {
+		return savorydeal.Object{}, wrap("get", kind, name, err)
+	}
+	return fromAPI(*object), nil
+}
+
+// Put writes one object if it has the expected version.
+func (c *Client) Put(ctx context.Context, kind, name string, expected int64, value []byte) (savorydeal.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	params := sdplatformapi.PutObjectParams{Kind: kind, Name: name, ExpectedVersion: expected}
+	object, err := c.api.PutObject(ctx, &sdplatformapi.ObjectValue{Value: value}, params)
+	if err != nil {
+		return savorydeal.Object{}, wrap("put", kind, name, err)
+	}
+	return fromAPI(*object), nil
+}
+
+// Delete deletes one object if it has the expected version.
+func (c *Client) Delete(ctx context.Context, kind, name string, expected int64) (savorydeal.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	params := sdplatformapi.DeleteObjectParams{Kind: kind, Name: name, ExpectedVersion: expected}
+	object, err := c.api.DeleteObject(ctx, params)
+	if err != nil {
+		return savorydeal.Object{}, wrap("delete", kind, name, err)
+	}
+	return fromAPI(*object), nil
+}
+
+// List reads all objects of a kind.
+func (c *Client) List(ctx context.Context, kind string) (savorydeal.ObjectList, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := c.api.ListObjects(ctx, sdplatformapi.ListObjectsParams{Kind: kind})
+	if err != nil {
+		return savorydeal.ObjectList{}, wrap("list", kind, "", err)
+	}
+	return listFromAPI(*list), nil
+}
+
+// Watch waits for changes after a revision.
+func (c *Client) Watch(ctx context.Context, kind string, after int64, wait time.Duration) (savorydeal.ObjectList, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	defer cancel()
+	params := sdplatformapi.WatchObjectsParams{Kind: kind, After: after, WaitMs: wait.Milliseconds()}
+	list, err := c.api.WatchObjects(ctx, params)
+	if err != nil {
+		return savorydeal.ObjectList{}, wrap("watch", kind, "", err)
+	}
+	return listFromAPI(*list), nil
+}
+
+func fromAPI(object sdplatformapi.Object) savorydeal.Object {
+	return savorydeal.Object{
+		Kind:    object.Kind,
+		Name:    object.Name,
+		Version: object.Version,
+		Deleted: object.Deleted,
+		Value:   object.Value,
+	}
+}
+
+func listFromAPI(list sdplatformapi.ObjectList) savorydeal.ObjectList {
+	mapped := savorydeal.ObjectList{Revision: list.Revision}
+	for _, object := range list.Objects {
+		mapped.Objects = append(mapped.Objects, fromAPI(object))
+	}
+	return mapped
+}
+
+// wrap tells the answers that settle a call from those that leave a write's
+// fate unknown.
+func wrap(verb, kind, name string, err error) error {
+	var problem *sdplatformapi.ProblemStatusCode
+	if errors.As(err, &problem) {
+		switch problem.StatusCode {
+		case http.StatusNotFound:
+			return fmt.Errorf("%s %s %s: %w", verb, kind, name, savorydeal.ErrObjectNotFound)
+		case http.StatusConflict:
+			return fmt.Errorf("%s %s %s: %w", verb, kind, name, savorydeal.ErrVersionConflict)
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			return fmt.Errorf("%s %s %s: %w", verb, kind, name, savorydeal.ErrPlatformRefused)
+		}
+	}
+	return fmt.Errorf("%s %s %s: %w", verb, kind, name, err)
+}
--- /dev/null
+++ b/internal/sdrelay/relay.go
@@ -0,0 +1,251 @@
+// Package sdrelay carries a call to one of the targets of its service and
+// tries again where that is harmless and affordable.
+package sdrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdbody"
+	"github.com/savorydeal/savorydeal/internal/sdchain"
+)
+
+// failedStatus is the least status that counts against a target.
+const failedStatus = 500
+
+// Relay is the savorydeal.Carrier that chooses targets.
+type Relay struct {
+	Clock     savorydeal.Clock
+	Placement savorydeal.Placement
+	Retries   savorydeal.Retries
+	// CarrierTo returns the carrier that reaches a member.
+	CarrierTo func(savorydeal.Member) savorydeal.Carrier
+	// RetryRatio returns the policy's cap for a service.
+	RetryRatio func(service string) float64
+	// NewTryID returns an identifier that is never used twice.
+	NewTryID func() string
+}
+
+var _ savorydeal.Carrier = (*Relay)(nil)
+
+// journey is one call over all its tries.
+type journey struct {
+	relay    *Relay
+	call     savorydeal.Call
+	body     *sdbody.Body
+	budget   *sdchain.Budget
+	deadline time.Time
+	tried    []savorydeal.NodeID
+	// mayHaveRun is true once any try ended unknown: from then on the call as
+	// a whole cannot be refused as not run.
+	mayHaveRun bool
+}
+
+// Carry tries targets until one answers, the budget is spent or another try
+// would do harm.
+func (r *Relay) Carry(ctx context.Context, call savorydeal.Call, body io.ReadCloser) (savorydeal.Answer, error) {
+	kept, err := sdbody.New(body)
+	if err != nil {
+		return savorydeal.Answer{}, &savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeNotRun,
+			Reason:  savorydeal.ReasonCanceled,
+			Detail:  err.Error(),
+		}
+	}
+	j := &journey{
+		relay:    r,
+		call:     call,
+		body:     kept,
+		budget:   sdchain.NewBudget(call.Chain.RetriesGranted),
+		deadline: r.Clock.Now().Add(call.Timeout),
+	}
+	r.Retries.FirstTry(r.Clock.Now(), call.Service, r.RetryRatio(call.Service))
+	return j.run(ctx)
+}
+
+func (j *journey) run(ctx context.Context) (savorydeal.Answer, error) {
+	for try := 1; ; try++ {
+		answer, refusal := j.try(ctx)
+		if refusal == nil {
+			return answer, nil
+		}
+		if refusal.Outcome == savorydeal.OutcomeUnknown {
+			j.mayHaveRun = true
+		}
+		wait, again := j.again(ctx, try, refusal)
+		if !again {
+			return savorydeal.Answer{}, j.final(refusal)
+		}
+		if !j.wait(ctx, wait) {
+			return savorydeal.Answer{}, j.final(refusal)
+		}
+	}
+}
+
+func (j *journey) again(ctx context.Context, try int, refusal *savorydeal.Refusal) (time.Duration, bool) {
+	if ctx.Err() != nil || !j.body.CanReopen() {
+		return 0, false
+	}
+	now := j.relay.Clock.Now()
+	decision := j.relay.Retries.Decide(now, savorydeal.RetryAsk{
+		Service:    j.call.Service,
+		Class:      j.call.Chain.Class,
+		Idempotent: j.call.Operation.Idempotent,
+		Outcome:    refusal.Outcome,
+		Reason:     refusal.Reason,
+		Try:        try,
+		Deadline:   j.deadline,
+		RetryAfter: refusal.RetryAfter,
+	})
+	if !decision.Again || !j.budget.TakeRetry() {
+		return 0, false
+	}
+	return decision.Wait, true
+}
+
+func (j *journey) wait(ctx context.Context, wait time.Duration) bool {
+	select {
+	case <-j.relay.Clock.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// final is the refusal of the call as a whole.
+func (j *journey) final(last *savorydeal.Refusal) *savorydeal.Refusal {
+	refusal := *last
+	if j.mayHaveRun {
+		refusal.Outcome = savorydeal.OutcomeUnknown
+	}
+	end := savorydeal.AnswerEnd{RetriesSpent: j.budget.Spent()}
+	if last.End != nil {
+		end.Signal = last.End.Signal
+		end.Pressure = last.End.Pressure
+	}
+	refusal.End = &end
+	return &refusal
+}
+
+// try sends the call to one target.
+func (j *journey) try(ctx context.Context) (savorydeal.Answer, *savorydeal.Refusal) {
+	now := j.relay.Clock.Now()
+	left := j.deadline.Sub(now)
+	if left <= 0 {
+		return savorydeal.Answer{}, notRun(savorydeal.ReasonDeadline, "the deadline passed before a target was tried")
+	}
+	member, ok := j.relay.Placement.Choose(now, savorydeal.PlacementRequest{
+		Service: j.call.Service,
+		Tried:   j.tried,
+		Class:   j.call.Chain.Class,
+	})
+	if !ok {
+		return savorydeal.Answer{}, notRun(savorydeal.ReasonNoTarget, "no target of service "+j.call.Service+" is ready")
+	}
+	j.tried = append(j.tried, member.Node)
+	body, ok := j.body.Open()
+	if !ok {
+		return savorydeal.Answer{}, notRun(savorydeal.ReasonBodyTooLarge, "the body is too large for another try")
+	}
+	attempt := &attempt{journey: j, member: member, started: now, granted: j.budget.Grant()}
+	call := j.call
+	call.TryID = j.relay.NewTryID()
+	call.Timeout = left
+	call.Chain.RetriesGranted = attempt.granted
+	answer, err := j.relay.CarrierTo(member).Carry(ctx, call, body)
+	if err != nil {
+		return savorydeal.Answer{}, attempt.refused(err)
+	}
+	return attempt.answered(answer), nil
+}
+
+func notRun(reason savorydeal.Reason, detail string) *savorydeal.Refusal {
+	return &savorydeal.Refusal{Outcome: savorydeal.OutcomeNotRun, Reason: reason, Detail: detail}
+}
+
+// attempt is one try at one target.
+type attempt struct {
+	journey *journey
+	member  savorydeal.Member
+	started time.Time
+	granted int
+	once    sync.Once
+}
+
+func (a *attempt) refused(err error) *savorydeal.Refusal {
+	var refusal *savorydeal.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeUnknown,
+			Reason:  savorydeal.ReasonTargetFailed,
+			Detail:  err.Error(),
+		}
+	}
+	// A target that was only busy has not failed.
+	failed := refusal.Outcome == savorydeal.OutcomeUnknown || refusal.Reason == savorydeal.ReasonLinkLost
+	a.end(refusal.Outcome, refusal.Reason, failed, refusal.End)
+	return refusal
+}
+
+func (a *attempt) answered(answer savorydeal.Answer) savorydeal.Answer {
+	answer.Body = &attemptBody{attempt: a, answer: answer, ReadCloser: answer.Body}
+	return answer
+}
+
+// end settles the try once: placement learns of it and the unspent retries
+// come back. Without word from the target's node all granted retries count as
+// spent.
+func (a *attempt) end(outcome savorydeal.Outcome, reason savorydeal.Reason, failed bool, end *savorydeal.AnswerEnd) {
+	a.once.Do(func() {
+		now := a.journey.relay.Clock.Now()
+		observation := savorydeal.PlacementObservation{
+			Node:    a.member.Node,
+			Service: a.journey.call.Service,
+			Latency: now.Sub(a.started),
+			Outcome: outcome,
+			Reason:  reason,
+			Failed:  failed,
+		}
+		if end != nil {
+			observation.Signal = end.Signal
+			observation.HasSignal = true
+			a.journey.budget.Return(a.granted, end.RetriesSpent)
+		} else if outcome == savorydeal.OutcomeNotRun {
+			a.journey.budget.Return(a.granted, 0)
+		}
+		a.journey.relay.Placement.Observe(now, observation)
+	})
+}
+
+// attemptBody settles its attempt when the answer is complete or given up.
+type attemptBody struct {
+	io.ReadCloser
+	attempt *attempt
+	answer  savorydeal.Answer
+}
+
+// Read reads the answer's body.
+func (b *attemptBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.complete()
+	}
+	return n, err
+}
+
+func (b *attemptBody) complete() {
+	failed := b.answer.Status >= failedStatus
+	b.attempt.end(savorydeal.OutcomeAnswered, "", failed, b.answer.End)
+	b.answer.End.RetriesSpent = b.attempt.journey.budget.Spent()
+}
+
+// Close gives up what has not been read. A try given up early settles as
+// unknown.
+func (b *attemptBody) Close() error {
+	b.attempt.end(savorydeal.OutcomeUnknown, savorydeal.ReasonCanceled, false, nil)
+	return b.ReadCloser.Close()
+}
--- /dev/null
+++ b/internal/sdstandcaller/caller.go
@@ -0,0 +1,116 @@
+// Package sdstandcaller is a small stand-in for a caller, for tests and the
+// bench program.
+package sdstandcaller
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdheader"
+	"github.com/savorydeal/savorydeal/internal/sdstandtarget"
+)
+
+// Request is one request of a caller.
+type Request struct {
+	LedgerID string
+	Service  string
+	Method   string
+	Path     string
+	Key      string
+	Caller   string
+	Body     string
+	// Timeout is sent as the remaining time; zero sends none.
+	Timeout time.Duration
+}
+
+// Result is what the caller got.
+type Result struct {
+	// Err is set if no complete response was received.
+	Err     error
+	Status  int
+	Outcome savorydeal.Outcome
+	Reason  savorydeal.Reason
+	Header  http.Header
+	Body    string
+	Latency time.Duration
+}
+
+// Complete reports whether the caller has a whole answer of the target.
+func (r Result) Complete() bool {
+	return r.Err == nil && r.Outcome == savorydeal.OutcomeAnswered && r.Status < http.StatusInternalServerError
+}
+
+// Caller sends requests to one node.
+type Caller struct {
+	address string
+	client  *http.Client
+}
+
+// New returns a caller of the node at the address.
+func New(address string, connections int) *Caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}
+	return &Caller{address: address, client: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() {
+	c.client.CloseIdleConnections()
+}
+
+// Send sends one request and reads its whole answer.
+func (c *Caller) Send(ctx context.Context, request Request) Result {
+	started := time.Now()
+	result := c.send(ctx, request)
+	result.Latency = time.Since(started)
+	return result
+}
+
+func (c *Caller) send(ctx context.Context, request Request) Result {
+	r, err := http.NewRequestWithContext(ctx, request.Method, "http://"+c.address+request.Path, strings.NewReader(request.Body))
+	if err != nil {
+		return Result{Err: fmt.Errorf("build request: %w", err)}
+	}
+	// Without this net/http may send the request twice by itself.
+	r.GetBody = nil
+	r.Host = request.Service
+	setHeaders(r.Header, request)
+	response, err := c.client.Do(r)
+	if err != nil {
+		return Result{Err: fmt.Errorf("send request: %w", err)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return Result{Err: fmt.Errorf("read answer: %w", err), Status: response.StatusCode}
+	}
+	outcome := savorydeal.Outcome(response.Header.Get(sdheader.Outcome))
+	if outcome == "" {
+		outcome = savorydeal.OutcomeAnswered
+	}
+	return Result{
+		Status:  response.StatusCode,
+		Outcome: outcome,
+		Reason:  savorydeal.Reason(response.Header.Get(sdheader.Reason)),
+		Header:  response.Header,
+		Body:    string(body),
+	}
+}
+
+func setHeaders(header http.Header, request Request) {
+	set := func(name, value string) {
+		if value != "" {
+			header.Set(name, value)
+		}
+	}
+	set(sdstandtarget.HeaderLedgerID, request.LedgerID)
+	set(sdheader.Key, request.Key)
+	set(sdheader.Caller, request.Caller)
+	if request.Timeout > 0 {
+		set(sdheader.DeadlineMS, fmt.Sprint(request.Timeout.Milliseconds()))
+	}
+}
--- /dev/null
+++ b/internal/sdwire/member.go
@@ -0,0 +1,49 @@
+package sdwire
+
+import (
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
+)
+
+// EncodeMember maps a member to its wire type. Ages travel instead of times,
+// so that clock skew does no harm.
+func EncodeMember(member savorydeal.Member, now time.Time) *sdpeerpb.Member {
+	encoded := &sdpeerpb.Member{
+		Node:        string(member.Node),
+		Incarnation: member.Incarnation,
+		Generation:  member.Generation,
+		DataCentre:  member.DataCentre,
+		Region:      member.Region,
+		PeerAddress: member.PeerAddress,
+		State:       string(member.State),
+		Service:     member.Service,
+		TargetState: string(member.TargetState),
+		Slots:       uint32(member.Slots),
+	}
+	if !member.ReadySince.IsZero() {
+		encoded.ReadyForNs = int64(now.Sub(member.ReadySince))
+	}
+	return encoded
+}
+
+// DecodeMember maps a member from its wire type.
+func DecodeMember(member *sdpeerpb.Member, now time.Time) savorydeal.Member {
+	decoded := savorydeal.Member{
+		Node:        savorydeal.NodeID(member.GetNode()),
+		Incarnation: member.GetIncarnation(),
+		Generation:  member.GetGeneration(),
+		DataCentre:  member.GetDataCentre(),
+		Region:      member.GetRegion(),
+		PeerAddress: member.GetPeerAddress(),
+		State:       savorydeal.MemberState(member.GetState()),
+		Service:     member.GetService(),
+		TargetState: savorydeal.TargetState(member.GetTargetState()),
+		Slots:       int(member.GetSlots()),
+	}
+	if decoded.TargetState == savorydeal.TargetReady {
+		decoded.ReadySince = now.Add(-time.Duration(member.GetReadyForNs()))
+	}
+	return decoded
+}
