--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	go test -race ./...
 
 build:
-	@for module in $(MODULES); do (cd $$module && go build ./... && go vet ./...) || exit 1; done
+	@for module in $(MODULES); do (cd $$module && go build -o /dev/null ./... && go vet ./...) || exit 1; done
 
 lint-tools:
 	@test -x $(TOOLS)/golangci-lint || GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
