Measure of overload: whole requests by class, judged by ledgers

Cause: nothing showed which requests complete while a deep service slows, demand surges and callers retry hard. The bench program gains the measure overload: two deployments with chains on loopback, eight scenarios, the present control and two baselines. Goodput, recovery, attempts, waste, fairness and order come from the ledgers of callers and targets only; a scenario whose fault left no trace fails the run. Targets draw their service times, start cold, shed and announce wrong slots on demand. The settings gain choices between mechanisms that have no flags, for measures. Ruled out: one long run per deployment with all scenarios in turn, since a scenario would begin in what the one before it left. The measure prints the machine's load and how late sleepers woke, so that a spoilt run can be told.

--- a/internal/sdadmission/admission.go
+++ b/internal/sdadmission/admission.go
@@ -13,6 +13,8 @@
 	// service times.
 	queuePerSlot = 4
 	minQueue     = 16
+	// maxQueueSlots bounds the queue of a target with very many slots.
+	maxQueueSlots = 4096
 	// retryAfterFull is the wait asked of callers refused by a full queue.
 	retryAfterFull = 500 * time.Millisecond
 	delayWeight    = 0.2
@@ -67,7 +69,7 @@
 }
 
 func (q *Queue) capacity() int {
-	return max(minQueue, queuePerSlot*q.limiter.Limit())
+	return max(minQueue, queuePerSlot*min(maxQueueSlots, q.limiter.Limit()))
 }
 
 // evictBelow removes the newest call of the least important class that is less
--- /dev/null
+++ b/internal/sdbenchoverload/judge.go
@@ -0,0 +1,464 @@
+package sdbenchoverload
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdstandtarget"
+)
+
+const (
+	// settle is the part of each trigger that is not judged by completions:
+	// requests begun in calm still end in it.
+	settle = time.Second
+	// controlInterval is how long an important request may be refused while
+	// less important ones run.
+	controlInterval = 250 * time.Millisecond
+	recoveryWindow  = 500 * time.Millisecond
+	recoveryStep    = 100 * time.Millisecond
+	recoveredPart   = 0.95
+)
+
+// run is one measured run.
+type run struct {
+	shape    shape
+	scenario scenario
+	variant  variant
+	timing   timing
+	start    time.Time
+	entries  []*entry
+	// runs are the targets' ledgers by service.
+	runs map[string][]sdstandtarget.Run
+	// blocked is the number of links that a cut refused.
+	blocked int64
+}
+
+// result is what a run has shown.
+type result struct {
+	run       *run
+	important float64
+	total     float64
+	afterPart float64
+	classes   map[savorydeal.Class]classResult
+	recovery  time.Duration
+	recovered bool
+	// attempts are runs on the most run service per request that ran at all.
+	attemptsCalm    float64
+	attemptsTrigger float64
+	attemptsMost    int
+	wasted          float64
+	fairness        float64
+	violations      int
+	refusals        int
+	reasons         map[savorydeal.Reason]int
+	fired           error
+}
+
+type classResult struct {
+	offered   int
+	completed int
+	// possible is the number that the bottleneck allowed if the class had it
+	// to itself after the more important ones.
+	possible float64
+}
+
+func (r *run) since(at time.Time) time.Duration {
+	return at.Sub(r.start)
+}
+
+func within(spans []span, at time.Duration) bool {
+	for _, s := range spans {
+		if at >= s.from && at < s.to {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) judge() result {
+	spans := r.scenario.triggers(r.timing)
+	calm := []span{{0, r.timing.calm}}
+	res := result{run: r, classes: r.classesIn(spans), reasons: make(map[savorydeal.Reason]int)}
+	res.important = r.importantGoodput(spans)
+	res.total = r.totalGoodput(spans)
+	res.afterPart = r.completedPart([]span{{r.timing.calm + r.timing.trigger, r.timing.total()}})
+	res.recovery, res.recovered = r.recovery(spans)
+	res.attemptsCalm, _ = r.attempts(calm)
+	res.attemptsTrigger, res.attemptsMost = r.attempts(spans)
+	res.wasted = r.wasted(spans)
+	res.fairness = r.fairness(spans)
+	res.violations, res.refusals = r.violations()
+	for _, one := range r.entries {
+		for _, reason := range one.reasons {
+			res.reasons[reason]++
+		}
+	}
+	res.fired = r.fired(spans)
+	return res
+}
+
+// seconds is the length of spans.
+func seconds(spans []span) float64 {
+	total := 0.0
+	for _, s := range spans {
+		total += (s.to - s.from).Seconds()
+	}
+	return total
+}
+
+func later(spans []span, by time.Duration) []span {
+	moved := make([]span, 0, len(spans))
+	for _, s := range spans {
+		moved = append(moved, span{s.from + by, s.to})
+	}
+	return moved
+}
+
+// workCapacity is the number of requests that the bottleneck's slots allow in
+// the spans, from the service times that its targets really drew.
+func (r *run) workCapacity(spans []span, length float64) float64 {
+	service := r.shape.service(r.shape.bottleneck)
+	slots := float64(service.slots * service.targets)
+	if r.scenario.lost || r.scenario.misled {
+		slots *= 2.0 / 3
+	}
+	var work time.Duration
+	drawn := 0
+	for _, one := range r.runs[r.shape.bottleneck] {
+		if one.Work > 0 && within(spans, r.since(one.Started)) {
+			work += one.Work
+			drawn++
+		}
+	}
+	if drawn == 0 {
+		return slots * length / service.serviceTime.Seconds() / float64(r.scenario.slow)
+	}
+	return slots * length / (work.Seconds() / float64(drawn))
+}
+
+// importantGoodput is the part of the important requests arriving in the spans
+// that completed. If there were more than the bottleneck allows, it is the part
+// of what the bottleneck allowed after settling instead, since requests of the
+// end complete when the trigger is over.
+func (r *run) importantGoodput(spans []span) float64 {
+	important := func(one *entry) bool { return one.operation.class == savorydeal.ClassCritical }
+	judged := later(spans, r.settling(spans))
+	if capacity := r.workCapacity(judged, seconds(judged)); float64(r.count(judged, important)) > capacity {
+		done := func(one *entry) bool { return important(one) && one.completed && within(judged, r.since(one.ended)) }
+		return ratio(float64(r.count([]span{{0, r.timing.total()}}, done)), capacity)
+	}
+	done := func(one *entry) bool { return important(one) && one.completed }
+	return ratio(float64(r.count(spans, done)), float64(r.count(spans, important)))
+}
+
+// count counts requests that arrived in the spans.
+func (r *run) count(spans []span, matches func(*entry) bool) int {
+	count := 0
+	for _, one := range r.entries {
+		if within(spans, r.since(one.arrived)) && matches(one) {
+			count++
+		}
+	}
+	return count
+}
+
+// settling is the part of each trigger that is not judged by completions.
+func (r *run) settling(spans []span) time.Duration {
+	return min(settle, (spans[0].to-spans[0].from)/4)
+}
+
+// totalGoodput is what completed of all requests in the spans after settling,
+// of what the bottleneck's slots allowed and of what needs no bottleneck.
+func (r *run) totalGoodput(spans []span) float64 {
+	judged := later(spans, r.settling(spans))
+	bound, free, boundDone, freeDone := 0, 0, 0, 0
+	for _, one := range r.entries {
+		passes := one.operation.passes(r.shape.bottleneck)
+		if within(judged, r.since(one.arrived)) {
+			if passes {
+				bound++
+			} else {
+				free++
+			}
+		}
+		if one.completed && within(judged, r.since(one.ended)) {
+			if passes {
+				boundDone++
+			} else {
+				freeDone++
+			}
+		}
+	}
+	possible := min(float64(bound), r.workCapacity(judged, seconds(judged)))
+	return ratio(float64(boundDone)+min(float64(freeDone), float64(free)), possible+float64(free))
+}
+
+func (r *run) classesIn(spans []span) map[savorydeal.Class]classResult {
+	classes := make(map[savorydeal.Class]classResult)
+	bound := make(map[savorydeal.Class]float64)
+	for _, one := range r.entries {
+		if !within(spans, r.since(one.arrived)) {
+			continue
+		}
+		class := classes[one.operation.class]
+		class.offered++
+		if one.completed {
+			class.completed++
+		}
+		classes[one.operation.class] = class
+		if one.operation.passes(r.shape.bottleneck) {
+			bound[one.operation.class]++
+		}
+	}
+	left := r.workCapacity(spans, seconds(spans))
+	for _, name := range savorydeal.Classes() {
+		class := classes[name]
+		allowed := min(bound[name], left)
+		left -= allowed
+		class.possible = float64(class.offered) - bound[name] + allowed
+		classes[name] = class
+	}
+	return classes
+}
+
+func ratio(part, whole float64) float64 {
+	if whole <= 0 {
+		return 1
+	}
+	return part / whole
+}
+
+// completedPart is the part of the requests arriving in the spans that
+// completed.
+func (r *run) completedPart(spans []span) float64 {
+	offered, completed := 0, 0
+	for _, one := range r.entries {
+		if within(spans, r.since(one.arrived)) {
+			offered++
+			if one.completed {
+				completed++
+			}
+		}
+	}
+	return ratio(float64(completed), float64(offered))
+}
+
+// recovery is the longest time after the end of a trigger until requests
+// arriving complete at 95% of the level before, two windows in a row.
+func (r *run) recovery(spans []span) (time.Duration, bool) {
+	before := recoveredPart * r.completedPart([]span{{0, r.timing.calm}})
+	longest := time.Duration(0)
+	for i, s := range spans {
+		until := r.timing.total()
+		if i+1 < len(spans) {
+			until = spans[i+1].from
+		}
+		found := false
+		for at := s.to; at+recoveryWindow <= until; at += recoveryStep {
+			window := []span{{at, at + recoveryWindow}}
+			next := []span{{at + recoveryStep, min(until, at+recoveryStep+recoveryWindow)}}
+			if r.completedPart(window) >= before && r.completedPart(next) >= before {
+				longest = max(longest, at-s.to)
+				found = true
+				break
+			}
+		}
+		if !found {
+			return until - s.to, false
+		}
+	}
+	return longest, true
+}
+
+// attempts returns the mean and the most of runs on the most run service, over
+// the requests arriving in the spans that ran at all.
+func (r *run) attempts(spans []span) (float64, int) {
+	counts := make(map[string]int)
+	for _, runs := range r.runs {
+		byID := make(map[string]int)
+		for _, one := range runs {
+			byID[one.LedgerID]++
+		}
+		for id, count := range byID {
+			counts[id] = max(counts[id], count)
+		}
+	}
+	sum, ran, most := 0, 0, 0
+	for _, one := range r.entries {
+		if count := counts[one.id]; count > 0 && within(spans, r.since(one.arrived)) {
+			sum += count
+			ran++
+			most = max(most, count)
+		}
+	}
+	return ratio(float64(sum), float64(ran)), most
+}
+
+// wasted is the part of the targets' slot time in the spans that went into
+// requests that did not complete, repeated runs included.
+func (r *run) wasted(spans []span) float64 {
+	done := make(map[string]bool)
+	for _, one := range r.entries {
+		done[one.id] = one.completed
+	}
+	var all, lost time.Duration
+	for _, runs := range r.runs {
+		used := make(map[string]bool)
+		for _, one := range runs {
+			if !within(spans, r.since(one.Started)) || one.Ended.IsZero() {
+				continue
+			}
+			work := min(one.Work, one.Ended.Sub(one.Started))
+			all += work
+			if !done[one.LedgerID] || one.Canceled || used[one.LedgerID] {
+				lost += work
+			}
+			used[one.LedgerID] = true
+		}
+	}
+	return ratio(lost.Seconds(), all.Seconds()+1e-9)
+}
+
+// fairness is Jain's index over callers of what each got of its max-min fair
+// share, the worst over the classes.
+func (r *run) fairness(spans []span) float64 {
+	worst := 1.0
+	for _, class := range savorydeal.Classes() {
+		demand := make([]float64, callerCount)
+		got := make([]float64, callerCount)
+		sum := 0.0
+		for _, one := range r.entries {
+			if one.operation.class != class || !one.operation.passes(r.shape.bottleneck) || !within(spans, r.since(one.arrived)) {
+				continue
+			}
+			demand[one.caller]++
+			if one.completed {
+				got[one.caller]++
+				sum++
+			}
+		}
+		// With a handful of completions a caller the index shows chance only.
+		if sum < 4*callerCount {
+			continue
+		}
+		worst = min(worst, jain(got, maxMin(demand, sum)))
+	}
+	return worst
+}
+
+// maxMin shares an amount so that no caller gets more than it asks for and the
+// others share the rest equally.
+func maxMin(demand []float64, amount float64) []float64 {
+	order := make([]int, len(demand))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(i, j int) bool { return demand[order[i]] < demand[order[j]] })
+	shares := make([]float64, len(demand))
+	for i, caller := range order {
+		shares[caller] = min(demand[caller], amount/float64(len(order)-i))
+		amount -= shares[caller]
+	}
+	return shares
+}
+
+func jain(got, shares []float64) float64 {
+	sum, squares, n := 0.0, 0.0, 0.0
+	for i, share := range shares {
+		if share <= 0 {
+			continue
+		}
+		x := got[i] / share
+		sum += x
+		squares += x * x
+		n++
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / (n * squares)
+}
+
+// violations counts important requests refused for overload while less
+// important ones began at the bottleneck, once this has lasted for longer than
+// one control interval.
+func (r *run) violations() (int, int) {
+	var refused []time.Duration
+	classOf := make(map[string]savorydeal.Class)
+	for _, one := range r.entries {
+		classOf[one.id] = one.operation.class
+		if one.operation.class == savorydeal.ClassCritical {
+			for _, at := range one.refused {
+				refused = append(refused, r.since(at))
+			}
+		}
+	}
+	var lesser []time.Duration
+	for _, one := range r.runs[r.shape.bottleneck] {
+		if class, ok := classOf[one.LedgerID]; ok && class != savorydeal.ClassCritical {
+			lesser = append(lesser, r.since(one.Started))
+		}
+	}
+	sortTimes(refused)
+	sortTimes(lesser)
+	count := 0
+	for _, at := range refused {
+		if anyIn(refused, at-2*controlInterval, at-controlInterval) && anyIn(lesser, at-controlInterval, at) {
+			count++
+		}
+	}
+	return count, len(refused)
+}
+
+func sortTimes(times []time.Duration) {
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+}
+
+func anyIn(times []time.Duration, from, to time.Duration) bool {
+	i := sort.Search(len(times), func(i int) bool { return times[i] >= from })
+	return i < len(times) && times[i] <= to
+}
+
+// fired returns an error if the fault of the scenario has left no trace in the
+// ledgers.
+func (r *run) fired(spans []span) error {
+	calm := []span{{0, r.timing.calm}}
+	if r.scenario.surge > 1 {
+		before := float64(r.arrivals(calm)) / seconds(calm)
+		during := float64(r.arrivals(spans)) / seconds(spans)
+		if during < before*r.scenario.surge/2 {
+			return fmt.Errorf("demand rose only from %.0f to %.0f requests/s", before, during)
+		}
+	}
+	if r.scenario.slow > 1 {
+		before, during := r.meanWork(calm), r.meanWork(spans)
+		if during < before*time.Duration(r.scenario.slow)/2 {
+			return fmt.Errorf("service time rose only from %v to %v", before, during)
+		}
+	}
+	if r.scenario.cut && r.blocked == 0 {
+		return fmt.Errorf("the cut has blocked no link")
+	}
+	return nil
+}
+
+func (r *run) arrivals(spans []span) int {
+	return r.count(spans, func(*entry) bool { return true })
+}
+
+func (r *run) meanWork(spans []span) time.Duration {
+	var sum time.Duration
+	count := 0
+	for _, one := range r.runs[r.shape.bottleneck] {
+		if one.Work > 0 && within(spans, r.since(one.Started)) {
+			sum += one.Work
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / time.Duration(count)
+}
--- /dev/null
+++ b/internal/sdlink/cut.go
@@ -0,0 +1,22 @@
+package sdlink
+
+import "github.com/hashicorp/yamux"
+
+// SetCut makes this side behave as if the network to the addresses were cut:
+// their links end and no new one opens. Tests and measures of partitions use
+// it on both sides; nil heals the cut.
+func (l *Links) SetCut(cut func(address string) bool) {
+	l.mu.Lock()
+	l.cut = cut
+	var ended []*yamux.Session
+	for address, session := range l.sessions {
+		if cut != nil && cut(address) {
+			ended = append(ended, session)
+			delete(l.sessions, address)
+		}
+	}
+	l.mu.Unlock()
+	for _, session := range ended {
+		_ = session.Close()
+	}
+}
--- a/internal/sdlink/link.go
+++ b/internal/sdlink/link.go
@@ -80,6 +80,7 @@
 	pending  map[string]*dial
 	accepted map[*yamux.Session]struct{}
 	closed   bool
+	cut      func(address string) bool
 }
 
 type dial struct {
@@ -164,6 +165,10 @@
 		l.mu.Unlock()
 		return nil, fmt.Errorf("open link to %s: links are closed", address)
 	}
+	if l.cut != nil && l.cut(address) {
+		l.mu.Unlock()
+		return nil, fmt.Errorf("open link to %s: the network is cut", address)
+	}
 	if session := l.sessions[address]; session != nil && !session.IsClosed() {
 		l.mu.Unlock()
 		return session, nil
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -17,7 +17,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
-	"github.com/savorydeal/savorydeal/internal/sdadmission"
 	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdcarrier"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
@@ -25,7 +24,6 @@
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
 	"github.com/savorydeal/savorydeal/internal/sdkeys"
-	"github.com/savorydeal/savorydeal/internal/sdlimit"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
@@ -124,7 +122,7 @@
 	n.policies.Store(sdpolicy.NewTable(nil))
 	n.members.Store(&[]savorydeal.Member{n.member()})
 	n.chains = sdchain.NewTable(func(bits []byte) { _, _ = cryptorand.Read(bits) })
-	n.admitter = sdserve.NewAdmitter(n.clock, sdadmission.New(sdlimit.NewFixed(firstSlots)))
+	n.admitter = sdserve.NewAdmitter(n.clock, newAdmission(n.settings.Overload))
 	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -32,6 +32,8 @@
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	LogLevel    string
+	// Overload is not set by flags; see its type.
+	Overload Overload
 }
 
 const (
--- a/internal/sdstandtarget/ledger.go
+++ b/internal/sdstandtarget/ledger.go
@@ -17,6 +17,8 @@
 	Key      string
 	Started  time.Time
 	Ended    time.Time
+	// Work is the service time drawn for the run, onward calls apart.
+	Work time.Duration
 	// Canceled is true if the caller's side had gone before the end.
 	Canceled bool
 }
@@ -42,6 +44,12 @@
 	l.runs[index].Canceled = canceled
 }
 
+func (l *Ledger) work(index int, work time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[index].Work = work
+}
+
 // Runs returns a copy of all runs.
 func (l *Ledger) Runs() []Run {
 	l.mu.Lock()
--- a/internal/sdstandtarget/target.go
+++ b/internal/sdstandtarget/target.go
@@ -37,8 +37,17 @@
 	Connections int
 	// ServiceTime is the time each request holds a slot.
 	ServiceTime time.Duration
+	// Behaviour varies the service time and what the target says of itself.
+	Behaviour Behaviour
 	// Onward calls are made one after the other while the slot is held.
 	Onward []Onward
+	// OnwardOf chooses the onward calls by the path of the request; nil makes
+	// those of Onward.
+	OnwardOf func(path string) []Onward
+	// OnwardRetries is how often the target itself repeats a failed onward
+	// call, each within OnwardTimeout, whatever the node says.
+	OnwardRetries int
+	OnwardTimeout time.Duration
 	// OnwardAddress and AnnounceAddress are the node's.
 	OnwardAddress   string
 	AnnounceAddress string
@@ -56,6 +65,7 @@
 	handler  atomic.Pointer[http.HandlerFunc]
 	slowdown atomic.Int64
 	state    atomic.Pointer[savorydeal.TargetState]
+	varied   varied
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -80,6 +90,7 @@
 		cancel:   cancel,
 	}
 	t.slowdown.Store(1)
+	t.varied.start(options)
 	t.setState(savorydeal.TargetReady)
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: time.Second}
 	t.done.Add(2)
@@ -137,7 +148,7 @@
 	reply, err := t.announce.AnnounceTarget(ctx, &sdtargetapi.Announcement{
 		Service:     t.options.Service,
 		Address:     t.options.Address,
-		Slots:       t.options.Slots,
+		Slots:       t.announcedSlots(),
 		Connections: t.options.Connections,
 		State:       sdtargetapi.AnnouncementState(*t.state.Load()),
 	})
@@ -177,6 +188,10 @@
 		Started:  time.Now(),
 	})
 	defer func() { t.Ledger.end(index, time.Now(), r.Context().Err() != nil) }()
+	if t.shed(w) {
+		return
+	}
+	defer t.varied.waiting.Add(-1)
 	select {
 	case t.slots <- struct{}{}:
 	case <-r.Context().Done():
@@ -187,20 +202,22 @@
 		(*handler)(w, r)
 		return
 	}
-	t.work(w, r)
+	t.work(w, r, index)
 }
 
-func (t *Target) work(w http.ResponseWriter, r *http.Request) {
+func (t *Target) work(w http.ResponseWriter, r *http.Request, index int) {
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	work := t.drawWork()
+	t.Ledger.work(index, work)
 	select {
-	case <-time.After(t.options.ServiceTime * time.Duration(t.slowdown.Load())):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
-	for _, onward := range t.options.Onward {
-		if err := t.callOnward(r, onward); err != nil {
+	for _, onward := range t.onwardOf(r.URL.Path) {
+		if err := t.repeatOnward(r, onward); err != nil {
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
 		}
@@ -209,8 +226,8 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s\n", t.options.Service, r.Method, r.Header.Get(HeaderLedgerID))
 }
 
-func (t *Target) callOnward(r *http.Request, onward Onward) error {
-	request, err := http.NewRequestWithContext(r.Context(), onward.Method, "http://"+t.options.OnwardAddress+onward.Path, nil)
+func (t *Target) callOnward(ctx context.Context, r *http.Request, onward Onward) error {
+	request, err := http.NewRequestWithContext(ctx, onward.Method, "http://"+t.options.OnwardAddress+onward.Path, nil)
 	if err != nil {
 		return err
 	}
