A door, an ordered queue and placement by what requests show

The queue of a target now raises an admission level while it is long. The level travels back on answers; the first node of a request knows which services its operation passes and refuses there what would be refused later. Rank and class make the same choice at every hop; among one class the first requests of every caller rank above the further ones of any. The queue runs the most important, then the deepest, then the least served caller, newest first while it stays long; calls that the level does not admit are dropped from a long queue, or they would keep it long and raise the level against the important. A fall of the level rests where all important calls are admitted. Refusals for overload are not repeated by nodes, and callers are asked to wait longer the higher the level, with spread. Placement ejects outliers relative to their service with a floor, ramps cold targets, spills to neighbours known to have room, and uses a deterministic subset.

--- a/internal/sdadmission/admission.go
+++ b/internal/sdadmission/admission.go
@@ -1,11 +1,13 @@
 // Package sdadmission decides which calls run on one target and when: one
-// bounded queue in which the important overtakes and evicts. It does no I/O.
+// bounded queue in which the important overtakes and evicts, with the
+// admission level that the queue's length asks for. It does no I/O.
 package sdadmission
 
 import (
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdpressure"
 )
 
 const (
@@ -15,110 +17,189 @@
 	minQueue     = 16
 	// maxQueueSlots bounds the queue of a target with very many slots.
 	maxQueueSlots = 4096
-	// retryAfterFull is the wait asked of callers refused by a full queue.
-	retryAfterFull = 500 * time.Millisecond
-	delayWeight    = 0.2
+	// newestAfter is how long a queue must have been long before the newest
+	// call of a class goes first: the older ones may have been given up.
+	newestAfter = 250 * time.Millisecond
+	delayWeight = 0.2
+	runWeight   = 0.1
+	// doomedPart is the part of a usual run below which the time left to a
+	// call makes it useless to begin.
+	doomedPart = 0.5
 )
 
+// Options switch single rules of a Queue off; the zero value has them all.
+type Options struct {
+	// OldestFirst keeps the order of arrival within a class also while the
+	// queue stays long.
+	OldestFirst bool
+	// AnyDepth puts new requests beside later stages of begun ones.
+	AnyDepth bool
+	// AnyCaller pays no regard to who has been served before.
+	AnyCaller bool
+}
+
 type waiting struct {
 	arrival savorydeal.Arrival
 	since   time.Time
 }
 
+func (w waiting) priority() int {
+	return sdpressure.Priority(w.arrival.Class, w.arrival.Rank)
+}
+
 type running struct {
 	atStart int
 }
 
 // Queue is the savorydeal.Admission of one target.
 type Queue struct {
+	options Options
 	limiter savorydeal.Limiter
-	queues  [savorydeal.ClassCount][]waiting
-	queued  int
+	// queue holds the waiting calls in the order of arrival.
+	queue   []waiting
 	running map[savorydeal.Ticket]running
-	delay   time.Duration
+	served  *served
+	level   sdpressure.Level
+	// longSince is when the queue became long; zero while it is short.
+	longSince time.Time
+	delay     time.Duration
+	usualRun  time.Duration
 }
 
 var _ savorydeal.Admission = (*Queue)(nil)
 
 // New returns a queue that admits as many calls as the limiter allows.
-func New(limiter savorydeal.Limiter) *Queue {
-	return &Queue{limiter: limiter, running: make(map[savorydeal.Ticket]running)}
+func New(limiter savorydeal.Limiter, options Options) *Queue {
+	return &Queue{
+		options: options,
+		limiter: limiter,
+		running: make(map[savorydeal.Ticket]running),
+		served:  newServed(),
+	}
 }
 
 // Configure sets the target's slots and connections; the smaller of the two
 // bounds the calls that run.
 func (q *Queue) Configure(now time.Time, slots, connections int) []savorydeal.AdmissionAction {
 	q.limiter.SetSlots(min(slots, connections))
-	return q.dispatch(now, nil)
+	return q.settle(now, nil)
 }
 
 // Arrive queues a call and starts what may start.
 func (q *Queue) Arrive(now time.Time, arrival savorydeal.Arrival) []savorydeal.AdmissionAction {
-	var actions []savorydeal.AdmissionAction
-	if q.queued >= q.capacity() {
-		evicted, ok := q.evictBelow(arrival.Class)
-		if !ok {
-			return append(actions, refuse(arrival.Ticket, savorydeal.ReasonQueueFull))
+	q.queue = append(q.queue, waiting{arrival: arrival, since: now})
+	return q.settle(now, nil)
+}
+
+// settle starts what may start, then drops what the queue has no room for, and
+// last moves the level by what is left.
+func (q *Queue) settle(now time.Time, actions []savorydeal.AdmissionAction) []savorydeal.AdmissionAction {
+	actions = q.dropLesser(actions)
+	actions = q.dispatch(now, actions)
+	actions = q.dropBelowLevel(actions)
+	actions = q.dropAboveCapacity(actions)
+	q.watchLength(now)
+	q.level.Observe(now, sdpressure.Load{Running: len(q.running), Queued: len(q.queue), Limit: q.limiter.Limit()})
+	return actions
+}
+
+// dispatch starts queued calls while the limit allows. Calls that could not
+// end before their deadline are refused instead.
+func (q *Queue) dispatch(now time.Time, actions []savorydeal.AdmissionAction) []savorydeal.AdmissionAction {
+	for len(q.queue) > 0 && len(q.running) < q.limiter.Limit() {
+		next := q.remove(q.first(now))
+		if q.doomed(now, next.arrival) {
+			actions = append(actions, refuse(next.arrival.Ticket, savorydeal.ReasonDeadline))
+			continue
 		}
-		actions = append(actions, refuse(evicted, savorydeal.ReasonEvicted))
+		q.delay += time.Duration(delayWeight * float64(now.Sub(next.since)-q.delay))
+		q.served.add(now, next.arrival)
+		q.running[next.arrival.Ticket] = running{atStart: len(q.running) + 1}
+		actions = append(actions, savorydeal.AdmissionAction{Ticket: next.arrival.Ticket, Verdict: savorydeal.VerdictRun})
 	}
-	rank := arrival.Class.Rank()
-	q.queues[rank] = append(q.queues[rank], waiting{arrival: arrival, since: now})
-	q.queued++
-	return q.dispatch(now, actions)
+	return actions
 }
 
-func (q *Queue) capacity() int {
-	return max(minQueue, queuePerSlot*min(maxQueueSlots, q.limiter.Limit()))
+func (q *Queue) doomed(now time.Time, arrival savorydeal.Arrival) bool {
+	return arrival.Deadline.Sub(now) <= time.Duration(doomedPart*float64(q.usualRun))
 }
 
-// evictBelow removes the newest call of the least important class that is less
-// important than class.
-func (q *Queue) evictBelow(class savorydeal.Class) (savorydeal.Ticket, bool) {
-	for rank := savorydeal.ClassCount - 1; rank > class.Rank(); rank-- {
-		queue := q.queues[rank]
-		if len(queue) == 0 {
-			continue
+// remove takes the call at the index out of the queue.
+func (q *Queue) remove(index int) waiting {
+	taken := q.queue[index]
+	q.queue = append(q.queue[:index], q.queue[index+1:]...)
+	return taken
+}
+
+// dropBelowLevel clears a long queue of calls that the level does not admit.
+// Left there they would keep the queue long and the level rising, until the
+// more important were refused for the sake of the less important: the queue of
+// a target swamped by lookups must not raise the level above the lookups.
+func (q *Queue) dropBelowLevel(actions []savorydeal.AdmissionAction) []savorydeal.AdmissionAction {
+	for level := q.level.Value(); level > 0 && q.long(); {
+		index, ok := q.victim(func(w waiting) bool { return w.priority() < level })
+		if !ok {
+			break
 		}
-		last := queue[len(queue)-1]
-		q.queues[rank] = queue[:len(queue)-1]
-		q.queued--
-		return last.arrival.Ticket, true
+		actions = append(actions, refuse(q.remove(index).arrival.Ticket, savorydeal.ReasonOverloaded))
 	}
-	return 0, false
+	return actions
 }
 
-func refuse(ticket savorydeal.Ticket, reason savorydeal.Reason) savorydeal.AdmissionAction {
-	return savorydeal.AdmissionAction{
-		Ticket:     ticket,
-		Verdict:    savorydeal.VerdictRefuse,
-		Reason:     reason,
-		RetryAfter: retryAfterFull,
+// dropLesser keeps the target for the most important class while the level
+// refuses a part of it: whatever a door lets through by an old word must not
+// run in its place.
+func (q *Queue) dropLesser(actions []savorydeal.AdmissionAction) []savorydeal.AdmissionAction {
+	if q.level.Value() <= sdpressure.ImportantLevel {
+		return actions
+	}
+	for {
+		index, ok := q.victim(func(w waiting) bool { return w.priority() < sdpressure.ImportantLevel })
+		if !ok {
+			return actions
+		}
+		actions = append(actions, refuse(q.remove(index).arrival.Ticket, savorydeal.ReasonOverloaded))
 	}
 }
 
-// dispatch starts queued calls, the most important first, while the limit
-// allows. Calls past their deadline are refused instead.
-func (q *Queue) dispatch(now time.Time, actions []savorydeal.AdmissionAction) []savorydeal.AdmissionAction {
-	for rank := range q.queues {
-		for len(q.queues[rank]) > 0 && len(q.running) < q.limiter.Limit() {
-			next := q.queues[rank][0]
-			q.queues[rank] = q.queues[rank][1:]
-			q.queued--
-			if !now.Before(next.arrival.Deadline) {
-				actions = append(actions, refuse(next.arrival.Ticket, savorydeal.ReasonDeadline))
-				continue
-			}
-			q.observeDelay(now.Sub(next.since))
-			q.running[next.arrival.Ticket] = running{atStart: len(q.running) + 1}
-			actions = append(actions, savorydeal.AdmissionAction{Ticket: next.arrival.Ticket, Verdict: savorydeal.VerdictRun})
+// long reports whether the queue asks for a higher level.
+func (q *Queue) long() bool {
+	return float64(len(q.queue)) > sdpressure.LongQueue*float64(q.limiter.Limit())
+}
+
+func (q *Queue) short() bool {
+	return float64(len(q.queue)) < sdpressure.ShortQueue*float64(q.limiter.Limit())
+}
+
+func (q *Queue) watchLength(now time.Time) {
+	switch {
+	case q.short():
+		q.longSince = time.Time{}
+	case q.long() && q.longSince.IsZero():
+		q.longSince = now
+	}
+}
+
+// dropAboveCapacity evicts the least important calls until the queue is
+// within its bound.
+func (q *Queue) dropAboveCapacity(actions []savorydeal.AdmissionAction) []savorydeal.AdmissionAction {
+	for len(q.queue) > q.capacity() {
+		index, _ := q.victim(func(waiting) bool { return true })
+		reason := savorydeal.ReasonEvicted
+		if index == len(q.queue)-1 {
+			reason = savorydeal.ReasonQueueFull
 		}
+		actions = append(actions, refuse(q.remove(index).arrival.Ticket, reason))
 	}
 	return actions
 }
 
-func (q *Queue) observeDelay(delay time.Duration) {
-	q.delay += time.Duration(delayWeight * float64(delay-q.delay))
+func (q *Queue) capacity() int {
+	return max(minQueue, queuePerSlot*min(maxQueueSlots, q.limiter.Limit()))
+}
+
+func refuse(ticket savorydeal.Ticket, reason savorydeal.Reason) savorydeal.AdmissionAction {
+	return savorydeal.AdmissionAction{Ticket: ticket, Verdict: savorydeal.VerdictRefuse, Reason: reason}
 }
 
 // Finish frees the call's place and starts what may start.
@@ -128,24 +209,23 @@
 		return nil
 	}
 	delete(q.running, completion.Ticket)
+	if completion.Result == savorydeal.RunSucceeded {
+		q.usualRun += time.Duration(runWeight * float64(completion.Latency-q.usualRun))
+	}
 	q.limiter.Observe(now, savorydeal.LimitSample{
 		Latency: completion.Latency,
 		Running: run.atStart,
-		Queued:  q.queued > 0,
+		Queued:  len(q.queue) > 0,
 		Result:  completion.Result,
 	})
-	return q.dispatch(now, nil)
+	return q.settle(now, nil)
 }
 
 // Cancel withdraws a queued call.
 func (q *Queue) Cancel(_ time.Time, ticket savorydeal.Ticket) bool {
-	for rank, queue := range q.queues {
-		for i, entry := range queue {
-			if entry.arrival.Ticket != ticket {
-				continue
-			}
-			q.queues[rank] = append(queue[:i:i], queue[i+1:]...)
-			q.queued--
+	for i, entry := range q.queue {
+		if entry.arrival.Ticket == ticket {
+			q.remove(i)
 			return true
 		}
 	}
@@ -155,27 +235,25 @@
 // Tick refuses queued calls that are past their deadline.
 func (q *Queue) Tick(now time.Time) []savorydeal.AdmissionAction {
 	var actions []savorydeal.AdmissionAction
-	for rank, queue := range q.queues {
-		kept := queue[:0]
-		for _, entry := range queue {
-			if now.Before(entry.arrival.Deadline) {
-				kept = append(kept, entry)
-				continue
-			}
-			q.queued--
-			actions = append(actions, refuse(entry.arrival.Ticket, savorydeal.ReasonDeadline))
+	for i := 0; i < len(q.queue); {
+		if now.Before(q.queue[i].arrival.Deadline) {
+			i++
+			continue
 		}
-		q.queues[rank] = kept
+		actions = append(actions, refuse(q.remove(i).arrival.Ticket, savorydeal.ReasonDeadline))
 	}
-	return q.dispatch(now, actions)
+	return q.settle(now, actions)
 }
 
 // Signal returns the load for callers.
-func (q *Queue) Signal(time.Time) savorydeal.LoadSignal {
+func (q *Queue) Signal(now time.Time) savorydeal.LoadSignal {
+	load := sdpressure.Load{Running: len(q.running), Queued: len(q.queue), Limit: q.limiter.Limit()}
+	q.level.Observe(now, load)
 	return savorydeal.LoadSignal{
-		Running: len(q.running),
-		Queued:  q.queued,
-		Limit:   q.limiter.Limit(),
-		Delay:   q.delay,
+		Running:   load.Running,
+		Queued:    load.Queued,
+		Limit:     load.Limit,
+		Delay:     q.delay,
+		DropLevel: q.level.Value(),
 	}
 }
--- a/internal/sdadmission/fifo.go
+++ b/internal/sdadmission/fifo.go
@@ -6,7 +6,7 @@
 	"github.com/savorydeal/savorydeal"
 )
 
-// FIFO runs calls in the order of their arrival whatever their class, in one
+// FIFO runs calls in the order of their arrival, whatever their class, in one
 // bounded queue. It is the baseline that Queue is measured against.
 type FIFO struct {
 	*Queue
@@ -16,11 +16,12 @@
 
 // NewFIFO returns a queue without order of importance.
 func NewFIFO(limiter savorydeal.Limiter) *FIFO {
-	return &FIFO{Queue: New(limiter)}
+	return &FIFO{Queue: New(limiter, Options{OldestFirst: true, AnyDepth: true, AnyCaller: true})}
 }
 
-// Arrive queues a call as if all calls had the same class.
+// Arrive queues a call as if all calls were equal.
 func (f *FIFO) Arrive(now time.Time, arrival savorydeal.Arrival) []savorydeal.AdmissionAction {
 	arrival.Class = savorydeal.ClassCritical
+	arrival.Rank = ^uint32(0)
 	return f.Queue.Arrive(now, arrival)
 }
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -28,9 +28,9 @@
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
+	"github.com/savorydeal/savorydeal/internal/sdpressure"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
-	"github.com/savorydeal/savorydeal/internal/sdretry"
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
@@ -65,6 +65,7 @@
 	chains    *sdchain.Table
 	owner     *sdkeyed.Owner
 	router    *sdkeyed.Router
+	door      *sdpressure.Carrier
 	metrics   *sdmetrics.Metrics
 	ids       *identifiers
 }
@@ -93,7 +94,7 @@
 		store:  sdconfig.NewStore(sdrecord.DecodeValue),
 		lease:  sdannounce.NewLease(),
 	}
-	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.placement = n.newPlacement()
 	n.wireTraffic()
 	n.registerGauges()
 	return n
@@ -127,7 +128,7 @@
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
 		Placement:  n.placement,
-		Retries:    sdretry.New(n.newRandom()),
+		Retries:    n.newRetries(),
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
@@ -140,6 +141,7 @@
 		Unkeyed: relay,
 		OwnerAt: n.ownerAt,
 	}
+	n.door = n.newDoor(n.router)
 	calls := &sdcarrier.Server{Carrier: n.server, Log: n.log.Named("call")}
 	keyed := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("keyed")}
 	n.links.Handle(sdlink.KindCall, calls.Serve)
@@ -175,7 +177,7 @@
 		Log:          n.log.Named("entry"),
 		Policies:     n.Policies,
 		Chains:       n.chains,
-		Next:         n.router,
+		Next:         n.door,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
 	}
--- a/internal/sdnode/pressure.go
+++ b/internal/sdnode/pressure.go
@@ -4,6 +4,9 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdadmission"
 	"github.com/savorydeal/savorydeal/internal/sdlimit"
+	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdpressure"
+	"github.com/savorydeal/savorydeal/internal/sdretry"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
 )
 
@@ -15,11 +18,47 @@
 // newAdmission builds the admission that the settings choose.
 func newAdmission(overload sdsettings.Overload) savorydeal.Admission {
 	if overload.Unbounded {
-		return sdadmission.New(sdlimit.Unlimited{})
+		return sdadmission.NewFIFO(sdlimit.Unlimited{})
 	}
 	limiter := sdlimit.NewFixed(firstSlots)
 	if overload.FIFO {
 		return sdadmission.NewFIFO(limiter)
 	}
-	return sdadmission.New(limiter)
+	return sdadmission.New(limiter, sdadmission.Options{
+		OldestFirst: overload.Off.NewestRun,
+		AnyDepth:    overload.Off.DepthFirst,
+		AnyCaller:   overload.Off.Fairness,
+	})
+}
+
+// newDoor puts the door before the path of a call.
+func (n *Node) newDoor(next savorydeal.Carrier) *sdpressure.Carrier {
+	door := sdpressure.New(n.newRandom())
+	door.EqualRanks = n.settings.Overload.Off.Fairness
+	return &sdpressure.Carrier{
+		Clock: n.clock,
+		Door:  door,
+		Next:  next,
+		Open:  n.settings.Overload.Off.Door || n.settings.Overload.Unbounded,
+	}
+}
+
+// newRetries builds the decision on retries, held back under overload.
+func (n *Node) newRetries() savorydeal.Retries {
+	retries := sdretry.New(n.newRandom())
+	if n.settings.Overload.Off.Door || n.settings.Overload.Unbounded {
+		return retries
+	}
+	return sdpressure.Retries{Retries: retries}
+}
+
+func (n *Node) newPlacement() *sdplacement.Chooser {
+	off := n.settings.Overload.Off
+	return sdplacement.New(sdplacement.Options{
+		Self:       n.self,
+		DataCentre: n.settings.DataCentre,
+		NoSpill:    off.Spill || n.settings.Overload.Unbounded,
+		NoEjection: off.Ejection || n.settings.Overload.Unbounded,
+		NoRamp:     off.Ramp || n.settings.Overload.Unbounded,
+	}, n.newRandom())
 }
--- a/internal/sdplacement/placement.go
+++ b/internal/sdplacement/placement.go
@@ -1,8 +1,10 @@
-// Package sdplacement picks the target for a call: the less loaded of two, the
-// own data centre first. It does no I/O.
+// Package sdplacement picks the target for a call: the less loaded of two, in
+// the own data centre while it has room, with outliers ejected and cold targets
+// ramped. It does no I/O.
 package sdplacement
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -10,122 +12,215 @@
 	"github.com/savorydeal/savorydeal"
 )
 
+const (
+	// signalTime is the time constant in which a target's word on its load
+	// loses its weight.
+	signalTime = time.Second
+	// rampTime is how long a target that has become ready gets less than its
+	// share, rampStart the part of its share that it begins with.
+	rampTime  = 3 * time.Second
+	rampStart = 0.1
+)
+
+// Options say where a chooser stands. The switches turn single rules off.
+type Options struct {
+	Self       savorydeal.NodeID
+	DataCentre string
+	// NoSpill keeps calls in the own data centre while it has a target.
+	NoSpill bool
+	// NoEjection goes on using targets that fail.
+	NoEjection bool
+	// NoRamp gives cold targets their whole share.
+	NoRamp bool
+}
+
 // Chooser is the savorydeal.Placement of one node. It is safe for concurrent
 // use.
 type Chooser struct {
-	dataCentre string
+	options Options
 
 	mu       sync.Mutex
 	random   savorydeal.Random
-	services map[string][]savorydeal.Member
-	load     map[savorydeal.NodeID]*nodeLoad
+	services map[string]*pool
+	nodes    map[savorydeal.NodeID]*nodeState
+}
+
+// pool is the targets of one service that this node uses.
+type pool struct {
+	local  []savorydeal.Member
+	remote []savorydeal.Member
+}
+
+func (p *pool) all() []savorydeal.Member {
+	return append(slices.Clone(p.local), p.remote...)
 }
 
-type nodeLoad struct {
+type nodeState struct {
 	// sent counts calls of this node that are still out.
-	sent   int
-	signal savorydeal.LoadSignal
+	sent     int
+	signal   savorydeal.LoadSignal
+	signalAt time.Time
+	health   health
 }
 
 var _ savorydeal.Placement = (*Chooser)(nil)
 
-// New returns a chooser for a node in the data centre.
-func New(dataCentre string, random savorydeal.Random) *Chooser {
+// New returns a chooser without members.
+func New(options Options, random savorydeal.Random) *Chooser {
 	return &Chooser{
-		dataCentre: dataCentre,
-		random:     random,
-		services:   make(map[string][]savorydeal.Member),
-		load:       make(map[savorydeal.NodeID]*nodeLoad),
+		options:  options,
+		random:   random,
+		services: make(map[string]*pool),
+		nodes:    make(map[savorydeal.NodeID]*nodeState),
 	}
 }
 
 // Update replaces the view of members.
 func (c *Chooser) Update(_ time.Time, members []savorydeal.Member) {
-	services := make(map[string][]savorydeal.Member)
+	services := make(map[string]*pool)
 	known := make(map[savorydeal.NodeID]bool, len(members))
 	for _, member := range members {
 		known[member.Node] = true
-		if member.Routable() {
-			services[member.Service] = append(services[member.Service], member)
+		if !member.Routable() {
+			continue
+		}
+		p := services[member.Service]
+		if p == nil {
+			p = &pool{}
+			services[member.Service] = p
+		}
+		if member.DataCentre == c.options.DataCentre {
+			p.local = append(p.local, member)
+		} else {
+			p.remote = append(p.remote, member)
 		}
 	}
+	for _, p := range services {
+		p.local = subset(c.options.Self, p.local)
+		p.remote = subset(c.options.Self, p.remote)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.services = services
-	for node := range c.load {
+	for node := range c.nodes {
 		if !known[node] {
-			delete(c.load, node)
+			delete(c.nodes, node)
 		}
 	}
 }
 
-// Choose picks the less loaded of two random members, first among those of the
-// own data centre that were not tried, then among those of the others, then
-// among those tried before.
-func (c *Chooser) Choose(_ time.Time, request savorydeal.PlacementRequest) (savorydeal.Member, bool) {
+// Choose picks a member: one of the own data centre, one of another if the own
+// has no room and the other does, and only then one that was tried before.
+func (c *Chooser) Choose(now time.Time, request savorydeal.PlacementRequest) (savorydeal.Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	members := c.preferred(request)
-	if len(members) == 0 {
+	p := c.services[request.Service]
+	if p == nil {
 		return savorydeal.Member{}, false
 	}
-	chosen := members[c.random.IntN(len(members))]
-	other := members[c.random.IntN(len(members))]
-	if c.score(other) < c.score(chosen) {
-		chosen = other
+	chosen, ok := c.choose(now, p, request)
+	if !ok {
+		return savorydeal.Member{}, false
 	}
-	c.nodeLoad(chosen.Node).sent++
+	state := c.state(chosen.Node)
+	state.sent++
+	state.health.sent(now)
 	return chosen, true
 }
 
-func (c *Chooser) preferred(request savorydeal.PlacementRequest) []savorydeal.Member {
-	var local, remote, tried []savorydeal.Member
-	for _, member := range c.services[request.Service] {
-		switch {
-		case slices.Contains(request.Tried, member.Node):
-			tried = append(tried, member)
-		case member.DataCentre == c.dataCentre:
-			local = append(local, member)
-		default:
-			remote = append(remote, member)
-		}
-	}
+func (c *Chooser) choose(now time.Time, p *pool, request savorydeal.PlacementRequest) (savorydeal.Member, bool) {
+	local := c.usable(now, p, p.local, request.Tried)
+	remote := c.usable(now, p, p.remote, request.Tried)
 	if len(local) > 0 {
-		return local
+		chosen := c.better(now, local)
+		if other, ok := c.spill(now, chosen, remote); ok {
+			return other, true
+		}
+		return chosen, true
 	}
 	if len(remote) > 0 {
-		return remote
+		return c.better(now, remote), true
+	}
+	// Whatever is left has failed or been tried; a bad target beats none.
+	all := p.all()
+	untried := slices.DeleteFunc(slices.Clone(all), func(m savorydeal.Member) bool { return slices.Contains(request.Tried, m.Node) })
+	if len(untried) > 0 {
+		return c.better(now, untried), true
+	}
+	if len(all) > 0 {
+		return c.better(now, all), true
+	}
+	return savorydeal.Member{}, false
+}
+
+// usable returns the members that were not tried and are not ejected.
+func (c *Chooser) usable(now time.Time, p *pool, members []savorydeal.Member, tried []savorydeal.NodeID) []savorydeal.Member {
+	usable := make([]savorydeal.Member, 0, len(members))
+	for _, member := range members {
+		if slices.Contains(tried, member.Node) || c.ejected(now, p, member.Node) {
+			continue
+		}
+		usable = append(usable, member)
+	}
+	return usable
+}
+
+// better returns the less loaded of two random members.
+func (c *Chooser) better(now time.Time, members []savorydeal.Member) savorydeal.Member {
+	first := c.random.IntN(len(members))
+	if len(members) == 1 {
+		return members[first]
+	}
+	second := c.random.IntN(len(members) - 1)
+	if second >= first {
+		second++
+	}
+	if c.score(now, members[second]) < c.score(now, members[first]) {
+		return members[second]
+	}
+	return members[first]
+}
+
+// score is the expected occupancy of the target: what this node has out, and
+// what the target said last, as far as that is fresh.
+func (c *Chooser) score(now time.Time, member savorydeal.Member) float64 {
+	state := c.state(member.Node)
+	limit := float64(state.signal.Limit)
+	if state.signal.Limit == 0 {
+		limit = float64(max(1, member.Slots))
 	}
-	return tried
+	fresh := math.Exp(-now.Sub(state.signalAt).Seconds() / signalTime.Seconds())
+	said := fresh * float64(state.signal.Running+state.signal.Queued)
+	return (1 + max(float64(state.sent), said)) / (limit * c.ramp(now, member))
 }
 
-// score is the expected occupancy of the target: what it said last, and what
-// this node has sent since.
-func (c *Chooser) score(member savorydeal.Member) float64 {
-	load := c.nodeLoad(member.Node)
-	limit := load.signal.Limit
-	if limit == 0 {
-		limit = max(1, member.Slots)
+// ramp is the part of its share that a target gets by the time it is ready.
+func (c *Chooser) ramp(now time.Time, member savorydeal.Member) float64 {
+	age := now.Sub(member.ReadySince)
+	if c.options.NoRamp || member.ReadySince.IsZero() || age >= rampTime {
+		return 1
 	}
-	return float64(load.sent+load.signal.Queued+load.signal.Running) / float64(limit)
+	return rampStart + (1-rampStart)*max(0, float64(age)/float64(rampTime))
 }
 
-func (c *Chooser) nodeLoad(node savorydeal.NodeID) *nodeLoad {
-	load := c.load[node]
-	if load == nil {
-		load = &nodeLoad{}
-		c.load[node] = load
+func (c *Chooser) state(node savorydeal.NodeID) *nodeState {
+	state := c.nodes[node]
+	if state == nil {
+		state = &nodeState{}
+		c.nodes[node] = state
 	}
-	return load
+	return state
 }
 
-// Observe ends a call counted by Choose and keeps the target's signal.
-func (c *Chooser) Observe(_ time.Time, observation savorydeal.PlacementObservation) {
+// Observe ends a call counted by Choose and keeps what it showed.
+func (c *Chooser) Observe(now time.Time, observation savorydeal.PlacementObservation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	load := c.nodeLoad(observation.Node)
-	load.sent = max(0, load.sent-1)
-	if observation.HasSignal {
-		load.signal = observation.Signal
+	state := c.state(observation.Node)
+	state.sent = max(0, state.sent-1)
+	if observation.HasSignal && observation.Signal.Limit > 0 {
+		state.signal = observation.Signal
+		state.signalAt = now
 	}
+	c.judge(now, state, observation)
 }
