A silent link is found by use and its answers are fetched over a new one

Cause: an open link that swallows bytes held every call on it until its deadline and then ended them unknown; yamux's own keep-alive would cost each idle link bytes every second. Ruled out: sending the call again (it may have run); keep-alives on every link. Copy buffers are pooled and a message is flushed only when more has to wait.

--- a/call.go
+++ b/call.go
@@ -92,6 +92,8 @@
 type Answer struct {
 	Status  int
 	Headers []Header
+	// ContentLength is the size of the body in bytes, -1 when not known.
+	ContentLength int64
 	// Body ends with io.EOF only when the whole body was received.
 	Body io.ReadCloser
 	// End is complete once Body has returned io.EOF.
--- a/internal/sdbenchpath/path.go
+++ b/internal/sdbenchpath/path.go
@@ -53,7 +53,7 @@
 
 // Run runs the measure.
 func Run(options sdbench.Options) error {
-	bed, err := newBed()
+	bed, err := newBed(true)
 	if err != nil {
 		return err
 	}
@@ -74,20 +74,22 @@
 
 // bed is one entry node, one target's node and a target without work to do.
 type bed struct {
-	rig     *sdrig.Rig
-	entry   *sdrig.Node
-	node    *sdrig.Node
-	target  *sdstandtarget.Target
-	through *sdstandcaller.Caller
-	direct  *sdstandcaller.Caller
+	rig *sdrig.Rig
+	// processes runs each node as a process of its own.
+	processes bool
+	entry     *sdrig.Node
+	node      *sdrig.Node
+	target    *sdstandtarget.Target
+	through   *sdstandcaller.Caller
+	direct    *sdstandcaller.Caller
 }
 
-func newBed() (*bed, error) {
+func newBed(processes bool) (*bed, error) {
 	rig, err := sdrig.New(sdrig.Discard())
 	if err != nil {
 		return nil, err
 	}
-	b := &bed{rig: rig}
+	b := &bed{rig: rig, processes: processes}
 	if err := b.start(); err != nil {
 		b.close()
 		return nil, err
@@ -98,7 +100,7 @@
 func (b *bed) start() error {
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
-	spec := sdrig.NodeSpec{DataCentre: "ub-1", Region: "ub", Process: true}
+	spec := sdrig.NodeSpec{DataCentre: "ub-1", Region: "ub", Process: b.processes}
 	var err error
 	if b.entry, err = b.rig.StartNode(spec); err != nil {
 		return err
--- a/internal/sdbody/body.go
+++ b/internal/sdbody/body.go
@@ -52,6 +52,11 @@
 	return &joined{Reader: io.MultiReader(bytes.NewReader(b.whole), b.rest), rest: b.rest}, true
 }
 
+// Length returns the size of the body in bytes if it is held whole.
+func (b *Body) Length() (int64, bool) {
+	return int64(len(b.whole)), b.complete
+}
+
 // CanReopen reports whether Open will succeed again.
 func (b *Body) CanReopen() bool {
 	return b.complete || !b.opened
--- a/internal/sdcarrier/client.go
+++ b/internal/sdcarrier/client.go
@@ -1,7 +1,8 @@
 // Package sdcarrier takes calls over a link: the client is a
 // savorydeal.Carrier that reaches another node, the server hands what arrives
 // to a savorydeal.Carrier of this node. Bodies and answers stream with bounded
-// memory.
+// memory. When a link is lost, the client fetches the answer over a new one
+// from the node that ran the call; nothing is sent twice.
 package sdcarrier
 
 import (
@@ -9,27 +10,35 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdbody"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
-	"github.com/savorydeal/savorydeal/internal/sdwire"
 )
 
+// maxFetches bounds how often the answer to one call is fetched: links that
+// are lost one after the other tell of a node that is gone.
+const maxFetches = 3
+
 // Client carries calls to one node.
 type Client struct {
 	Links   *sdlink.Links
 	Address string
 	Kind    sdlink.Kind
+	// NewTryID names the sending of a call that has no try id yet.
+	NewTryID func() string
 }
 
 var _ savorydeal.Carrier = (*Client)(nil)
 
 // Carry sends the call and waits for the head of the answer. Until the first
 // byte is handed to the link the call has not run; after that only the other
-// node's refusal can say so.
+// node can say so, by a refusal or when the answer is fetched.
 func (c *Client) Carry(ctx context.Context, call savorydeal.Call, body io.ReadCloser) (savorydeal.Answer, error) {
+	if call.TryID == "" {
+		call.TryID = c.NewTryID()
+	}
 	stream, err := c.Links.Open(ctx, c.Address, c.Kind)
 	if err != nil {
 		_ = body.Close()
@@ -39,17 +48,26 @@
 			Detail:  err.Error(),
 		}
 	}
-	exchange := &exchange{stream: stream}
-	exchange.stopWatch = context.AfterFunc(ctx, exchange.close)
-	go exchange.sendRequest(call, body)
-	answer, err := exchange.readAnswer()
+	j := &journey{client: c, ctx: ctx, tryID: call.TryID, exchange: newExchange(ctx, stream)}
+	if inMemory(call) {
+		j.exchange.sendRequest(call, body)
+	} else {
+		go j.exchange.sendRequest(call, body)
+	}
+	answer, err := j.readAnswer()
 	if err != nil {
-		exchange.close()
+		j.exchange.close()
 		return savorydeal.Answer{}, refusalOf(ctx, err)
 	}
 	return answer, nil
 }
 
+// inMemory reports whether the relay holds the whole body, so that sending it
+// does not wait for the caller. It fits the stream's window.
+func inMemory(call savorydeal.Call) bool {
+	return call.ContentLength >= 0 && call.ContentLength <= sdbody.ReplayBytes
+}
+
 // refusalOf tells the other node's refusal from a link that broke.
 func refusalOf(ctx context.Context, err error) *savorydeal.Refusal {
 	var refusal *savorydeal.Refusal
@@ -70,123 +88,48 @@
 	}
 }
 
-// exchange is one call on one stream.
-type exchange struct {
-	stream    *sdlink.Stream
-	stopWatch func() bool
-	closeOnce sync.Once
-}
-
-// close ends the stream. A peer still at work on the call takes it as the
-// caller's cancellation.
-func (e *exchange) close() {
-	e.closeOnce.Do(func() { _ = e.stream.Abort() })
-}
-
-func (e *exchange) sendRequest(call savorydeal.Call, body io.ReadCloser) {
-	defer body.Close()
-	head := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Call{Call: sdwire.EncodeCall(call)}}
-	if err := e.stream.Write(head); err != nil {
-		return
-	}
-	if err := sendBody(e.stream.Conn, body); err != nil {
-		e.close()
-		return
-	}
-	end := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_BodyEnd{BodyEnd: &sdpeerpb.BodyEnd{}}}
-	_ = e.stream.Send(end)
+// journey is one call to the node, over one exchange and, after a lost link,
+// the exchanges that fetch its answer. One goroutine uses it at a time.
+type journey struct {
+	client   *Client
+	ctx      context.Context
+	tryID    string
+	exchange *exchange
+	fetches  int
 }
 
-// sendBody writes the body in parts. A first part that is slow to come must
-// not hold back what was written before, hence the flush at each part.
-func sendBody(conn *sdwire.Conn, body io.Reader) error {
-	part := make([]byte, sdwire.BodyChunkBytes)
+func (j *journey) readAnswer() (savorydeal.Answer, error) {
 	for {
-		n, err := body.Read(part)
-		if n > 0 {
-			frame := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Body{Body: part[:n]}}
-			if err := conn.Send(frame); err != nil {
-				return err
-			}
+		answer, err := j.exchange.readAnswer(j.tryID)
+		if err == nil {
+			answer.Body = &answerBody{journey: j, end: answer.End}
+			return answer, nil
 		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return fmt.Errorf("read body: %w", err)
+		if !j.refetch(err) {
+			return savorydeal.Answer{}, err
 		}
 	}
 }
 
-func (e *exchange) readAnswer() (savorydeal.Answer, error) {
-	if err := e.stream.ReadOpen(); err != nil {
-		return savorydeal.Answer{}, err
-	}
-	var frame sdpeerpb.CallFrame
-	if err := e.stream.Read(&frame); err != nil {
-		return savorydeal.Answer{}, err
-	}
-	switch kind := frame.GetFrame().(type) {
-	case *sdpeerpb.CallFrame_Refusal:
-		refusal := sdwire.DecodeRefusal(kind.Refusal)
-		return savorydeal.Answer{}, &refusal
-	case *sdpeerpb.CallFrame_Answer:
-		answer := sdwire.DecodeAnswerHead(kind.Answer)
-		answer.End = &savorydeal.AnswerEnd{}
-		answer.Body = &answerBody{exchange: e, end: answer.End}
-		return answer, nil
-	default:
-		return savorydeal.Answer{}, fmt.Errorf("peer sent a %T where an answer was due", kind)
-	}
-}
-
-// answerBody reads the body of an answer from its stream. It ends with io.EOF
-// only if the peer has said that the answer is complete and its length agrees.
-type answerBody struct {
-	exchange *exchange
-	end      *savorydeal.AnswerEnd
-	part     []byte
-	read     int64
-	err      error
-}
-
-// Read reads the next bytes of the answer.
-func (b *answerBody) Read(p []byte) (int, error) {
-	for len(b.part) == 0 && b.err == nil {
-		b.err = b.next()
-	}
-	if len(b.part) > 0 {
-		n := copy(p, b.part)
-		b.part = b.part[n:]
-		b.read += int64(n)
-		return n, nil
+// refetch replaces the exchange if its link was lost, and reports whether
+// there is a new one to read the answer from.
+func (j *journey) refetch(cause error) bool {
+	var refusal *savorydeal.Refusal
+	if errors.As(cause, &refusal) || j.ctx.Err() != nil || !j.exchange.stream.Lost() {
+		return false
 	}
-	return 0, b.err
-}
-
-func (b *answerBody) next() error {
-	var frame sdpeerpb.CallFrame
-	if err := b.exchange.stream.Read(&frame); err != nil {
-		return fmt.Errorf("answer cut short: %w", io.ErrUnexpectedEOF)
+	j.exchange.close()
+	if j.fetches == maxFetches {
+		return false
 	}
-	switch kind := frame.GetFrame().(type) {
-	case *sdpeerpb.CallFrame_Body:
-		b.part = kind.Body
-		return nil
-	case *sdpeerpb.CallFrame_AnswerEnd:
-		*b.end = sdwire.DecodeAnswerEnd(kind.AnswerEnd)
-		if b.end.BodyBytes != b.read {
-			return fmt.Errorf("answer of %d bytes where %d were announced: %w", b.read, b.end.BodyBytes, io.ErrUnexpectedEOF)
-		}
-		return io.EOF
-	default:
-		return fmt.Errorf("answer cut short by a %T: %w", kind, io.ErrUnexpectedEOF)
+	j.fetches++
+	stream, err := j.client.Links.Open(j.ctx, j.client.Address, sdlink.KindFetch)
+	if err != nil {
+		return false
 	}
-}
-
-// Close ends the exchange.
-func (b *answerBody) Close() error {
-	b.exchange.stopWatch()
-	b.exchange.close()
-	return nil
+	j.exchange = newExchange(j.ctx, stream)
+	fetch := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Fetch{Fetch: &sdpeerpb.Fetch{TryId: j.tryID}}}
+	// A send that fails shows when the answer is read.
+	_ = stream.Send(fetch)
+	return true
 }
--- a/internal/sdcarrier/server.go
+++ b/internal/sdcarrier/server.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -14,17 +12,13 @@
 	"github.com/savorydeal/savorydeal/internal/sdwire"
 )
 
-// bufferedParts bounds the body parts held for a call that is not reading its
-// body yet. Reading ahead lets the node notice a caller that has gone.
-const bufferedParts = 8
-
-// errCallerGone is the error of a body whose caller has closed the stream.
-var errCallerGone = errors.New("caller has gone")
-
 // Server hands calls that arrive on streams to a carrier.
 type Server struct {
 	Carrier savorydeal.Carrier
-	Log     hclog.Logger
+	Clock   savorydeal.Clock
+	// Tries may be shared by several servers of one node.
+	Tries *Tries
+	Log   hclog.Logger
 }
 
 // Serve is the sdlink.Handler of calls.
@@ -35,131 +29,178 @@
 		return
 	}
 	head := frame.GetCall()
-	if head == nil {
-		s.Log.Warn("stream refused: no call head", "peer", string(stream.Peer.Node))
+	if head == nil || head.GetTryId() == "" {
+		s.Log.Warn("stream refused: no call head with a try id", "peer", string(stream.Peer.Node))
 		return
 	}
 	call := sdwire.DecodeCall(head)
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	begun, ok := s.Tries.begin(call.TryID)
+	if !ok {
+		// The sender has been told that this try has not run.
+		_ = stream.Send(refusalFrame(&savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeUnknown,
+			Reason:  savorydeal.ReasonLinkLost,
+			Detail:  "the call arrived after its answer was asked for",
+		}))
+		return
+	}
+	// A lost link must not cancel the call: its sender may come to fetch the
+	// answer. Only the sender's own close does, or a hold without a fetch.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Timeout)
 	defer cancel()
-	body := newRequestBody(stream, cancel)
-	answer, err := s.Carrier.Carry(ctx, call, body)
+	arrived := &arrival{server: s, call: call, try: begun, stream: stream, cancel: cancel}
+	arrived.run(ctx)
+}
+
+// arrival is one call that this node runs for another.
+type arrival struct {
+	server *Server
+	call   savorydeal.Call
+	try    *try
+	stream *sdlink.Stream
+	cancel context.CancelFunc
+	// deaf is true once the stream takes no more bytes; the answer is then
+	// only recorded.
+	deaf bool
+}
+
+func (a *arrival) run(ctx context.Context) {
+	body := newRequestBody(a.stream, a.senderClosed)
+	answer, err := a.server.Carrier.Carry(ctx, a.call, body)
 	if err != nil {
-		sendRefusal(stream, err)
-		return
+		a.send(refusalFrame(err))
+		a.flush()
+	} else {
+		a.sendAnswer(answer)
 	}
-	if err := sendAnswer(stream, answer); err != nil {
-		// Without an end frame the peer takes the answer as cut short.
-		s.Log.Debug("answer not delivered", "try_id", call.TryID, "error", err)
+	a.try.finish()
+	a.hold(body)
+}
+
+// senderClosed is called once the stream has ended. If its link stands, the
+// sender has closed it: it has its answer, or its caller has gone.
+func (a *arrival) senderClosed() {
+	if !a.stream.Lost() {
+		a.cancel()
+		return
 	}
+	a.server.Clock.AfterFunc(orphanHold, func() {
+		if !a.try.beingFetched() {
+			a.cancel()
+		}
+	})
 }
 
-func sendRefusal(stream *sdlink.Stream, err error) {
-	var refusal *savorydeal.Refusal
-	if !errors.As(err, &refusal) {
-		refusal = &savorydeal.Refusal{
-			Outcome: savorydeal.OutcomeUnknown,
-			Reason:  savorydeal.ReasonTargetFailed,
-			Detail:  err.Error(),
+// hold keeps the answer until its sender has closed the stream, or, after a
+// lost link, for a fetch.
+func (a *arrival) hold(body *requestBody) {
+	id := a.call.TryID
+	select {
+	case <-body.streamEnded:
+		if !a.stream.Lost() {
+			a.server.Tries.forget(id)
+			return
 		}
+	case <-a.server.Clock.After(orphanHold):
 	}
-	frame := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Refusal{Refusal: sdwire.EncodeRefusal(*refusal)}}
-	_ = stream.Send(frame)
+	a.server.Clock.AfterFunc(orphanHold, func() { a.server.Tries.forget(id) })
 }
 
-func sendAnswer(stream *sdlink.Stream, answer savorydeal.Answer) error {
-	defer answer.Body.Close()
-	head := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Answer{Answer: sdwire.EncodeAnswerHead(answer)}}
-	if err := stream.Write(head); err != nil {
-		return err
+// send records a message of the answer and sends it while the stream takes it.
+func (a *arrival) send(frame *sdpeerpb.CallFrame) {
+	a.try.record(frame)
+	if a.deaf {
+		return
 	}
-	counted := &countingReader{r: answer.Body}
-	if err := sendBody(stream.Conn, counted); err != nil {
-		return err
+	if err := a.stream.Write(frame); err != nil {
+		a.deaf = true
 	}
-	end := *answer.End
-	end.BodyBytes = counted.n
-	last := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_AnswerEnd{AnswerEnd: sdwire.EncodeAnswerEnd(end)}}
-	return stream.Send(last)
-}
-
-type countingReader struct {
-	r io.Reader
-	n int64
 }
 
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n += int64(n)
-	return n, err
+func (a *arrival) flush() {
+	if a.deaf {
+		return
+	}
+	if err := a.stream.Flush(); err != nil {
+		a.deaf = true
+	}
 }
 
-// requestBody is the body of a call that arrives on a stream. A goroutine
-// reads ahead, so that the end of the stream cancels the call also while
-// nobody reads the body.
-type requestBody struct {
-	parts chan []byte
-	done  chan struct{}
-	part  []byte
-	// end is set before parts is closed.
-	end error
+func (a *arrival) sendAnswer(answer savorydeal.Answer) {
+	defer answer.Body.Close()
+	head := sdwire.EncodeAnswerHead(answer)
+	head.TryId = a.call.TryID
+	a.send(&sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Answer{Answer: head}})
+	length, err := copyParts(answer.Body, answer.ContentLength, a.sendPart)
+	if err != nil {
+		// Without an end the answer is taken as cut short, also by a fetch.
+		a.server.Log.Debug("answer not delivered", "try_id", a.call.TryID, "error", err)
+		return
+	}
+	end := *answer.End
+	end.BodyBytes = length
+	a.send(&sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_AnswerEnd{AnswerEnd: sdwire.EncodeAnswerEnd(end)}})
+	a.flush()
 }
 
-func newRequestBody(stream *sdlink.Stream, cancel context.CancelFunc) *requestBody {
-	body := &requestBody{parts: make(chan []byte, bufferedParts), done: make(chan struct{})}
-	go body.readAhead(stream, cancel)
-	return body
-}
+var errNobodyTakes = errors.New("neither the stream nor a fetch can take the answer")
 
-func (b *requestBody) readAhead(stream *sdlink.Stream, cancel context.CancelFunc) {
-	b.end = b.pump(stream)
-	close(b.parts)
-	if errors.Is(b.end, io.EOF) {
-		// The request is complete. The peer sends nothing more until it
-		// closes the stream, after the answer or because its caller left.
-		var frame sdpeerpb.CallFrame
-		_ = stream.Read(&frame)
+func (a *arrival) sendPart(part []byte, last bool) error {
+	a.send(&sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Body{Body: part}})
+	if !last {
+		a.flush()
+	}
+	if a.deaf && a.try.tooBig {
+		return errNobodyTakes
 	}
-	cancel()
+	return nil
 }
 
-func (b *requestBody) pump(stream *sdlink.Stream) error {
-	for {
-		var frame sdpeerpb.CallFrame
-		if err := stream.Read(&frame); err != nil {
-			return errCallerGone
-		}
-		switch kind := frame.GetFrame().(type) {
-		case *sdpeerpb.CallFrame_Body:
-			select {
-			case b.parts <- kind.Body:
-			case <-b.done:
-				return errCallerGone
-			}
-		case *sdpeerpb.CallFrame_BodyEnd:
-			return io.EOF
-		default:
-			return fmt.Errorf("peer sent a %T within a body", kind)
+func refusalFrame(err error) *sdpeerpb.CallFrame {
+	var refusal *savorydeal.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = &savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeUnknown,
+			Reason:  savorydeal.ReasonTargetFailed,
+			Detail:  err.Error(),
 		}
 	}
+	return &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Refusal{Refusal: sdwire.EncodeRefusal(*refusal)}}
 }
 
-// Read reads the next bytes of the body.
-func (b *requestBody) Read(p []byte) (int, error) {
-	for len(b.part) == 0 {
-		part, ok := <-b.parts
-		if !ok {
-			return 0, b.end
+// ServeFetch is the sdlink.Handler of fetches: it answers with what the try
+// has been or will be answered.
+func (s *Server) ServeFetch(ctx context.Context, stream *sdlink.Stream) {
+	var frame sdpeerpb.CallFrame
+	if err := stream.Read(&frame); err != nil || frame.GetFetch() == nil {
+		return
+	}
+	found, ok := s.Tries.find(frame.GetFetch().GetTryId())
+	if !ok {
+		_ = stream.Send(refusalFrame(&savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeNotRun,
+			Reason:  savorydeal.ReasonLinkLost,
+			Detail:  "the call was lost with its link before it arrived",
+		}))
+		return
+	}
+	defer found.addFetch(-1)
+	select {
+	case <-found.done:
+	case <-ctx.Done():
+		return
+	}
+	if found.tooBig {
+		_ = stream.Send(refusalFrame(&savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeUnknown,
+			Reason:  savorydeal.ReasonLinkLost,
+			Detail:  "the call has run; its answer was too large to hold when its link was lost",
+		}))
+		return
+	}
+	for _, held := range found.frames {
+		if err := stream.Write(held); err != nil {
+			return
 		}
-		b.part = part
 	}
-	n := copy(p, b.part)
-	b.part = b.part[n:]
-	return n, nil
-}
-
-// Close gives up the rest of the body. It is called once.
-func (b *requestBody) Close() error {
-	close(b.done)
-	return nil
 }
--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdbody"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
 	"github.com/savorydeal/savorydeal/internal/sdheader"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
@@ -221,19 +222,21 @@
 	}
 	header.Set(sdheader.RequestID, requestID)
 	w.WriteHeader(answer.Status)
-	return copyAnswer(w, answer.Body) == nil
+	return copyAnswer(w, answer) == nil
 }
 
-const copyBytes = 32 << 10
-
-// copyAnswer flushes each part, so that a streamed answer is not held back.
-func copyAnswer(w http.ResponseWriter, body io.Reader) error {
+// copyAnswer flushes each part, so that a streamed answer is not held back,
+// unless it is the last by the answer's length.
+func copyAnswer(w http.ResponseWriter, answer savorydeal.Answer) error {
 	controller := http.NewResponseController(w)
-	part := make([]byte, copyBytes)
+	part := sdbody.Part()
+	defer sdbody.Release(part)
+	var sent int64
 	for {
-		n, err := body.Read(part)
+		n, err := answer.Body.Read(*part)
+		sent += int64(n)
 		if n > 0 {
-			if _, err := w.Write(part[:n]); err != nil {
+			if _, err := w.Write((*part)[:n]); err != nil {
 				return err
 			}
 		}
@@ -243,6 +246,8 @@
 		if err != nil {
 			return err
 		}
-		_ = controller.Flush()
+		if sent != answer.ContentLength {
+			_ = controller.Flush()
+		}
 	}
 }
--- a/internal/sdkeyed/owner.go
+++ b/internal/sdkeyed/owner.go
@@ -132,6 +132,7 @@
 	}
 	kept := savorydeal.StoredAnswer{Status: answer.Status, Headers: answer.Headers, Body: whole}
 	o.end(claim, func(now time.Time) { o.records.Finish(now, claim, kept) })
+	answer.ContentLength = int64(len(whole))
 	answer.Body = io.NopCloser(bytes.NewReader(whole))
 	return answer, nil
 }
@@ -156,9 +157,10 @@
 
 func stored(answer savorydeal.StoredAnswer) savorydeal.Answer {
 	return savorydeal.Answer{
-		Status:  answer.Status,
-		Headers: answer.Headers,
-		Body:    io.NopCloser(bytes.NewReader(answer.Body)),
-		End:     &savorydeal.AnswerEnd{},
+		Status:        answer.Status,
+		Headers:       answer.Headers,
+		ContentLength: int64(len(answer.Body)),
+		Body:          io.NopCloser(bytes.NewReader(answer.Body)),
+		End:           &savorydeal.AnswerEnd{},
 	}
 }
--- a/internal/sdlink/link.go
+++ b/internal/sdlink/link.go
@@ -20,7 +20,6 @@
 
 const (
 	dialTimeout        = time.Second
-	keepAliveInterval  = time.Second
 	streamWriteTimeout = 5 * time.Second
 	acceptBacklog      = 1024
 	streamWindowBytes  = 256 << 10
@@ -35,6 +34,8 @@
 	KindCall Kind = "call"
 	// KindKeyed carries a keyed call to the node that owns its key.
 	KindKeyed Kind = "keyed"
+	// KindFetch asks for the answer to a call whose link was lost.
+	KindFetch Kind = "fetch"
 	// KindControl carries one exchange of control messages.
 	KindControl Kind = "control"
 )
@@ -52,6 +53,16 @@
 	// known only after ReadOpen.
 	Peer Identity
 	raw  *yamux.Stream
+	// link is nil on a stream that the peer opened.
+	link    *link
+	session *yamux.Session
+	endOnce sync.Once
+}
+
+// Lost reports whether the link of the stream is gone. An end of the stream
+// while the link stands is the peer's own doing.
+func (s *Stream) Lost() bool {
+	return s.session.IsClosed()
 }
 
 // SetReadDeadline bounds all later reads.
@@ -61,6 +72,9 @@
 
 // Abort closes the stream and fails a Read that is waiting on it.
 func (s *Stream) Abort() error {
+	if s.link != nil {
+		s.endOnce.Do(s.link.ended)
+	}
 	_ = s.raw.SetReadDeadline(time.Unix(1, 0))
 	return s.raw.Close()
 }
@@ -72,29 +86,32 @@
 // Links holds the sessions to all peers. It is safe for concurrent use.
 type Links struct {
 	identity Identity
+	clock    savorydeal.Clock
 	log      hclog.Logger
 	handlers map[Kind]Handler
 
 	mu       sync.Mutex
-	sessions map[string]*yamux.Session
+	links    map[string]*link
 	pending  map[string]*dial
 	accepted map[*yamux.Session]struct{}
 	closed   bool
+	silent   int
 }
 
 type dial struct {
-	done    chan struct{}
-	session *yamux.Session
-	err     error
+	done chan struct{}
+	link *link
+	err  error
 }
 
 // New returns a Links without sessions. Handlers are set before Serve.
-func New(identity Identity, log hclog.Logger) *Links {
+func New(identity Identity, clock savorydeal.Clock, log hclog.Logger) *Links {
 	return &Links{
 		identity: identity,
+		clock:    clock,
 		log:      log,
 		handlers: make(map[Kind]Handler),
-		sessions: make(map[string]*yamux.Session),
+		links:    make(map[string]*link),
 		pending:  make(map[string]*dial),
 		accepted: make(map[*yamux.Session]struct{}),
 	}
@@ -108,7 +125,8 @@
 func sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.AcceptBacklog = acceptBacklog
-	cfg.KeepAliveInterval = keepAliveInterval
+	// Links are probed by use instead (sdprobe), so that idle ones cost nothing.
+	cfg.EnableKeepAlive = false
 	cfg.ConnectionWriteTimeout = streamWriteTimeout
 	cfg.MaxStreamWindowSize = streamWindowBytes
 	cfg.LogOutput = io.Discard
@@ -116,19 +134,22 @@
 }
 
 // Open starts a stream of the kind to the peer at the address. The caller
-// writes its messages at once; ReadOpen comes before the first Read.
+// writes its messages at once; ReadOpen comes before the first Read. The
+// stream ends by Abort.
 func (l *Links) Open(ctx context.Context, address string, kind Kind) (*Stream, error) {
-	session, err := l.session(ctx, address)
+	to, err := l.link(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	raw, err := session.OpenStream()
+	raw, err := to.session.OpenStream()
 	if err != nil {
-		l.drop(address, session)
+		l.drop(address, to)
 		return nil, fmt.Errorf("open stream to %s: %w", address, err)
 	}
-	stream := &Stream{Conn: sdwire.NewConn(raw), raw: raw}
+	to.opened()
+	stream := &Stream{Conn: sdwire.NewConn(raw), raw: raw, link: to, session: to.session}
 	if err := stream.Write(l.open(kind)); err != nil {
+		_ = stream.Abort()
 		return nil, fmt.Errorf("open stream to %s: %w", address, err)
 	}
 	return stream, nil
@@ -158,15 +179,15 @@
 	return nil
 }
 
-func (l *Links) session(ctx context.Context, address string) (*yamux.Session, error) {
+func (l *Links) link(ctx context.Context, address string) (*link, error) {
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
 		return nil, fmt.Errorf("open link to %s: links are closed", address)
 	}
-	if session := l.sessions[address]; session != nil && !session.IsClosed() {
+	if known := l.links[address]; known != nil && !known.session.IsClosed() {
 		l.mu.Unlock()
-		return session, nil
+		return known, nil
 	}
 	attempt := l.pending[address]
 	if attempt == nil {
@@ -178,69 +199,88 @@
 
 	select {
 	case <-attempt.done:
-		return attempt.session, attempt.err
+		return attempt.link, attempt.err
 	case <-ctx.Done():
 		return nil, fmt.Errorf("open link to %s: %w", address, ctx.Err())
 	}
 }
 
 func (l *Links) dial(address string, attempt *dial) {
-	attempt.session, attempt.err = connect(address)
+	attempt.link, attempt.err = l.connect(address)
 	l.mu.Lock()
 	delete(l.pending, address)
 	if attempt.err == nil && l.closed {
 		attempt.err = fmt.Errorf("open link to %s: links are closed", address)
-		_ = attempt.session.Close()
+		attempt.link.abandon()
 	}
 	if attempt.err == nil {
-		l.sessions[address] = attempt.session
+		l.links[address] = attempt.link
 	}
 	l.mu.Unlock()
 	close(attempt.done)
 }
 
-func connect(address string) (*yamux.Session, error) {
+func (l *Links) connect(address string) (*link, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("open link to %s: %w", address, err)
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	heard := newHeardConn(conn, l.clock)
+	session, err := yamux.Client(heard, sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session with %s: %w", address, err)
 	}
-	return session, nil
+	onSilent := func(silent *link) {
+		l.log.Warn("link silent: replaced", "peer", address)
+		l.mu.Lock()
+		l.silent++
+		l.mu.Unlock()
+		l.drop(address, silent)
+	}
+	return &link{session: session, conn: heard, clock: l.clock, onSilent: onSilent}, nil
 }
 
-func (l *Links) drop(address string, session *yamux.Session) {
+func (l *Links) drop(address string, dropped *link) {
 	l.mu.Lock()
-	if l.sessions[address] == session {
-		delete(l.sessions, address)
+	if l.links[address] == dropped {
+		delete(l.links, address)
 	}
 	l.mu.Unlock()
-	_ = session.Close()
+	dropped.abandon()
 }
 
 // Close ends all sessions, those of peers included.
 func (l *Links) Close() {
 	l.mu.Lock()
 	l.closed = true
-	sessions := make([]*yamux.Session, 0, len(l.sessions)+len(l.accepted))
-	for _, session := range l.sessions {
-		sessions = append(sessions, session)
+	links := make([]*link, 0, len(l.links))
+	for _, known := range l.links {
+		links = append(links, known)
 	}
+	accepted := make([]*yamux.Session, 0, len(l.accepted))
 	for session := range l.accepted {
-		sessions = append(sessions, session)
+		accepted = append(accepted, session)
 	}
 	l.mu.Unlock()
-	for _, session := range sessions {
+	for _, known := range links {
+		known.abandon()
+	}
+	for _, session := range accepted {
 		_ = session.Close()
 	}
 }
 
-// Count returns the number of open sessions that this node has dialled.
+// Count returns the number of links that this node has dialled.
 func (l *Links) Count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.sessions)
+	return len(l.links)
+}
+
+// Silent returns the number of links given up as silent.
+func (l *Links) Silent() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
 }
--- a/internal/sdlink/serve.go
+++ b/internal/sdlink/serve.go
@@ -49,7 +49,7 @@
 			l.logEnd(conn, err)
 			return
 		}
-		go l.serveStream(ctx, raw)
+		go l.serveStream(ctx, session, raw)
 	}
 }
 
@@ -81,9 +81,9 @@
 	l.log.Debug("link ended", "remote", conn.RemoteAddr().String(), "error", err)
 }
 
-func (l *Links) serveStream(ctx context.Context, raw *yamux.Stream) {
+func (l *Links) serveStream(ctx context.Context, session *yamux.Session, raw *yamux.Stream) {
 	defer raw.Close()
-	stream := &Stream{Conn: sdwire.NewConn(raw), raw: raw}
+	stream := &Stream{Conn: sdwire.NewConn(raw), raw: raw, session: session}
 	handler, err := l.readPeerOpen(stream)
 	if err != nil {
 		l.log.Warn("stream refused", "peer", string(stream.Peer.Node), "error", err)
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -85,7 +85,7 @@
 		generation: generation,
 		random:     rand.New(rand.NewPCG(seed, generation)),
 		events:     make(chan controlEvent, controlBacklog),
-		links:      sdlink.New(sdlink.Identity{Node: self, Generation: generation}, log.Named("link")),
+		links:      sdlink.New(sdlink.Identity{Node: self, Generation: generation}, clock, log.Named("link")),
 		gate:       sdserve.NewGate(),
 		metrics:    sdmetrics.New(),
 		ids:        newIdentifiers(),
@@ -142,10 +142,12 @@
 		Unkeyed: relay,
 		OwnerAt: n.ownerAt,
 	}
-	calls := &sdcarrier.Server{Carrier: n.server, Log: n.log.Named("call")}
-	keyed := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("keyed")}
+	tries := sdcarrier.NewTries(n.clock)
+	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
+	keyed := &sdcarrier.Server{Carrier: n.owner, Clock: n.clock, Tries: tries, Log: n.log.Named("keyed")}
 	n.links.Handle(sdlink.KindCall, calls.Serve)
 	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
+	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
@@ -154,11 +156,11 @@
 	if member.Node == n.self {
 		return n.server
 	}
-	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall}
+	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall, NewTryID: n.ids.next}
 }
 
 func (n *Node) ownerAt(member savorydeal.Member) savorydeal.Carrier {
-	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed}
+	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed, NewTryID: n.ids.next}
 }
 
 func (n *Node) retryRatio(service string) float64 {
--- a/internal/sdrelay/relay.go
+++ b/internal/sdrelay/relay.go
@@ -56,6 +56,9 @@
 			Detail:  err.Error(),
 		}
 	}
+	if length, ok := kept.Length(); ok {
+		call.ContentLength = length
+	}
 	j := &journey{
 		relay:    r,
 		call:     call,
--- a/internal/sdserve/server.go
+++ b/internal/sdserve/server.go
@@ -102,10 +102,11 @@
 	}
 	end := &savorydeal.AnswerEnd{}
 	return savorydeal.Answer{
-		Status:  response.StatusCode,
-		Headers: sdheader.Passed(response.Header),
-		Body:    &answerBody{ReadCloser: response.Body, execution: e, status: response.StatusCode, end: end},
-		End:     end,
+		Status:        response.StatusCode,
+		Headers:       sdheader.Passed(response.Header),
+		ContentLength: response.ContentLength,
+		Body:          &answerBody{ReadCloser: response.Body, execution: e, status: response.StatusCode, end: end},
+		End:           end,
 	}, nil
 }
 
--- a/internal/sdwire/codec.go
+++ b/internal/sdwire/codec.go
@@ -109,16 +109,18 @@
 // EncodeAnswerHead maps the head of an answer to its wire type.
 func EncodeAnswerHead(answer savorydeal.Answer) *sdpeerpb.AnswerHead {
 	return &sdpeerpb.AnswerHead{
-		Status:  int32(answer.Status),
-		Headers: encodeHeaders(answer.Headers),
+		Status:               int32(answer.Status),
+		Headers:              encodeHeaders(answer.Headers),
+		ContentLengthPlusOne: answer.ContentLength + 1,
 	}
 }
 
 // DecodeAnswerHead maps the head of an answer from its wire type.
 func DecodeAnswerHead(head *sdpeerpb.AnswerHead) savorydeal.Answer {
 	return savorydeal.Answer{
-		Status:  int(head.GetStatus()),
-		Headers: decodeHeaders(head.GetHeaders()),
+		Status:        int(head.GetStatus()),
+		Headers:       decodeHeaders(head.GetHeaders()),
+		ContentLength: head.GetContentLengthPlusOne() - 1,
 	}
 }
 
--- a/internal/sdwire/frame.go
+++ b/internal/sdwire/frame.go
@@ -23,7 +23,7 @@
 	// BodyChunkBytes is the largest body part in one message.
 	BodyChunkBytes = 32 << 10
 
-	bufferBytes = 4 << 10
+	bufferBytes = 2 << 10
 )
 
 // Conn reads and writes messages on one stream. Reading and writing may happen
