Invariants are checked where admission, retries, keys and policies decide

The checks stand at the seams between the decision packages and those that use them, so that a mutated implementation of the interface shows that each bites: the admitter checks Admission (one verdict a ticket, bound, order of classes), the relay checks Retries and Placement, the owner of keys checks KeyRecords, the store of policies its decoder, the entry the length of an answer.

Ruled out: checks inside the decisions themselves, which a fault in the same lines would blind.

--- a/internal/sdchain/budget.go
+++ b/internal/sdchain/budget.go
@@ -2,7 +2,12 @@
 // class, its retry budget and its deadline. It does no I/O.
 package sdchain
 
-import "sync"
+import (
+	"fmt"
+	"sync"
+
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+)
 
 // Budget is the retries that one call and everything below it may spend. All
 // onward calls of a run share it, so that parallel branches cannot each spend
@@ -49,6 +54,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.left += unspent
+	left, all := b.left, b.granted
+	sdinvariant.RetryBound.Check(left <= all, func() string { return fmt.Sprintf("%d retries left of %d granted", left, all) })
 }
 
 // Spent returns the retries that are spent or still out with onward calls.
--- /dev/null
+++ b/internal/sdchain/invariant_test.go
@@ -0,0 +1,17 @@
+package sdchain
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+)
+
+func TestGrantThatIsGivenBackTwice(t *testing.T) {
+	is := is.New(t)
+	budget := NewBudget(3)
+	granted := budget.Grant()
+	is.True(!sdinvariant.RetryBound.Bites(func() { budget.Return(granted, 0) }))
+	is.True(sdinvariant.RetryBound.Bites(func() { budget.Return(granted, 0) }))
+}
--- a/internal/sdcommand/node.go
+++ b/internal/sdcommand/node.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 	"github.com/savorydeal/savorydeal/internal/sdnode"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
 )
@@ -46,6 +47,9 @@
 		log.Error("node failed", "error", err)
 		return ExitFailed
 	}
+	sdinvariant.SetReport(func(v sdinvariant.Violation) {
+		log.Error("invariant broken", "invariant", string(v.Name), "detail", v.Detail)
+	})
 	ctx, stop := stopSignals(log)
 	defer stop()
 	node := sdnode.New(settings, Version, seed, sdclock.System{}, log)
--- a/internal/sdconfig/store.go
+++ b/internal/sdconfig/store.go
@@ -5,12 +5,14 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 // Decode reads a policy from the platform's object.
@@ -66,6 +68,9 @@
 	if err != nil {
 		entry.Rejected = err.Error()
 	} else {
+		sdinvariant.NoVersionReversal.Check(record.Version >= entry.InForce.Version, func() string {
+			return fmt.Sprintf("%s goes from version %d to %d", object.Name, entry.InForce.Version, record.Version)
+		})
 		entry.InForce = record
 		entry.Rejected = ""
 	}
--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -173,7 +173,7 @@
 		return refusal
 	}
 	defer answer.Body.Close()
-	complete := writeAnswer(w, call.Chain.RequestID, answer)
+	complete := writeAnswer(w, call, answer)
 	if !complete {
 		settle(parent, call, nil)
 		e.Log.Warn("answer cut short", "request_id", call.Chain.RequestID, "service", call.Service)
@@ -214,14 +214,19 @@
 }
 
 // writeAnswer reports whether the caller was sent the whole answer.
-func writeAnswer(w http.ResponseWriter, requestID string, answer savorydeal.Answer) bool {
+func writeAnswer(w http.ResponseWriter, call savorydeal.Call, answer savorydeal.Answer) bool {
 	header := w.Header()
 	for _, field := range answer.Headers {
 		header.Add(field.Name, field.Value)
 	}
-	header.Set(sdheader.RequestID, requestID)
+	header.Set(sdheader.RequestID, call.Chain.RequestID)
 	w.WriteHeader(answer.Status)
-	return copyAnswer(w, answer.Body) == nil
+	counted := &countingReader{r: answer.Body}
+	if copyAnswer(w, counted) != nil {
+		return false
+	}
+	checkWhole(call, answer.End, counted.n)
+	return true
 }
 
 const copyBytes = 32 << 10
--- /dev/null
+++ b/internal/sdentry/invariant_test.go
@@ -0,0 +1,26 @@
+package sdentry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+)
+
+func TestCarrierThatEndsABodyEarly(t *testing.T) {
+	is := is.New(t)
+	short := savorydeal.Answer{
+		Status: http.StatusOK,
+		Body:   io.NopCloser(strings.NewReader("half")),
+		End:    &savorydeal.AnswerEnd{BodyBytes: 8},
+	}
+	is.True(sdinvariant.WholeAnswer.Bites(func() {
+		writeAnswer(httptest.NewRecorder(), savorydeal.Call{}, short)
+	}))
+}
--- a/internal/sdkeyed/owner.go
+++ b/internal/sdkeyed/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbody"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 const (
@@ -106,6 +107,7 @@
 	decision := o.records.Claim(now, claim)
 	id := waiterID{service: claim.Service, caller: claim.Caller, key: claim.Key}
 	if decision.Verdict == savorydeal.KeyRun {
+		sdinvariant.AtMostOnce.Check(o.waiters[id] == nil, func() string { return "key " + claim.Key + " runs while its first run is going" })
 		o.waiters[id] = make(chan struct{})
 	}
 	return decision, o.waiters[id]
--- a/internal/sdmetrics/metrics.go
+++ b/internal/sdmetrics/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/savorydeal/savorydeal/internal/sdentry"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 const namespace = "savorydeal"
@@ -37,6 +38,7 @@
 		}, []string{"side", "class", "outcome"}),
 	}
 	m.registry.MustRegister(m.requests, m.seconds)
+	m.registry.MustRegister(sdinvariant.Collector{})
 	m.registry.MustRegister(collectors.NewGoCollector())
 	m.registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
--- /dev/null
+++ b/internal/sdrelay/invariant_test.go
@@ -0,0 +1,86 @@
+package sdrelay
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdchain"
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+)
+
+// fixed is a Placement that always chooses one member.
+type fixed struct{ member savorydeal.Member }
+
+func (f fixed) Update(time.Time, []savorydeal.Member) {}
+func (f fixed) Choose(time.Time, savorydeal.PlacementRequest) (savorydeal.Member, bool) {
+	return f.member, true
+}
+func (f fixed) Observe(time.Time, savorydeal.PlacementObservation) {}
+
+// eager tries again whatever happened.
+type eager struct{}
+
+func (eager) FirstTry(time.Time, string, float64) {}
+func (eager) Decide(_ time.Time, ask savorydeal.RetryAsk) savorydeal.RetryDecision {
+	return savorydeal.RetryDecision{Again: ask.Try < 2}
+}
+
+// failing gives no answer.
+type failing struct{ outcome savorydeal.Outcome }
+
+func (f failing) Carry(context.Context, savorydeal.Call, io.ReadCloser) (savorydeal.Answer, error) {
+	return savorydeal.Answer{}, &savorydeal.Refusal{Outcome: f.outcome, Reason: savorydeal.ReasonLinkLost}
+}
+
+func newMutated(member savorydeal.Member) *Relay {
+	return &Relay{
+		Clock:      sdclock.System{},
+		Placement:  fixed{member: member},
+		Retries:    eager{},
+		CarrierTo:  func(savorydeal.Member) savorydeal.Carrier { return failing{outcome: savorydeal.OutcomeUnknown} },
+		RetryRatio: func(string) float64 { return 1 },
+		NewTryID:   func() string { return "try" },
+	}
+}
+
+func ready() savorydeal.Member {
+	return savorydeal.Member{
+		Node: "10.0.0.1:7000", Service: "orders", State: savorydeal.MemberAlive, TargetState: savorydeal.TargetReady,
+	}
+}
+
+func carry(relay *Relay) {
+	call := savorydeal.Call{Service: "orders", Timeout: time.Minute, Chain: savorydeal.Chain{RetriesGranted: 2}}
+	_, _ = relay.Carry(context.Background(), call, io.NopCloser(strings.NewReader("")))
+}
+
+func TestRetriesThatAlwaysTryAgain(t *testing.T) {
+	is := is.New(t)
+	is.True(sdinvariant.NoRepeatAfterUnknown.Bites(func() { carry(newMutated(ready())) }))
+}
+
+func TestPlacementThatChoosesAWrongTarget(t *testing.T) {
+	is := is.New(t)
+	leaving := ready()
+	leaving.TargetState = savorydeal.TargetLeaving
+	other := ready()
+	other.Service = "payments"
+	for _, member := range []savorydeal.Member{leaving, other} {
+		is.True(sdinvariant.RoutableTarget.Bites(func() { carry(newMutated(member)) }))
+	}
+}
+
+func TestRelayThatForgetsThatATryMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	j := &journey{relay: newMutated(ready()), budget: sdchain.NewBudget(1), unknownTries: 1, mayHaveRun: false}
+	is.True(sdinvariant.NotRunIsTrue.Bites(func() {
+		_ = j.final(notRun(savorydeal.ReasonNoTarget, "no target is ready"))
+	}))
+}
--- a/internal/sdrelay/relay.go
+++ b/internal/sdrelay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbody"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 // failedStatus is the least status that counts against a target.
@@ -43,6 +44,9 @@
 	// mayHaveRun is true once any try ended unknown: from then on the call as
 	// a whole cannot be refused as not run.
 	mayHaveRun bool
+	// unknownTries counts the same at another place, for the check of the
+	// final refusal.
+	unknownTries int
 }
 
 // Carry tries targets until one answers, the budget is spent or another try
@@ -104,6 +108,9 @@
 	if !decision.Again || !j.budget.TakeRetry() {
 		return 0, false
 	}
+	sdinvariant.NoRepeatAfterUnknown.Check(!j.mayHaveRun || j.call.Operation.Idempotent, func() string {
+		return "non-idempotent call " + j.call.Chain.RequestID + " tried again after it may have run"
+	})
 	return decision.Wait, true
 }
 
@@ -128,6 +135,9 @@
 		end.Pressure = last.End.Pressure
 	}
 	refusal.End = &end
+	sdinvariant.NotRunIsTrue.Check(refusal.Outcome != savorydeal.OutcomeNotRun || j.unknownTries == 0, func() string {
+		return "call " + j.call.Chain.RequestID + " refused as not run after a try that may have run"
+	})
 	return &refusal
 }
 
@@ -146,6 +156,9 @@
 	if !ok {
 		return savorydeal.Answer{}, notRun(savorydeal.ReasonNoTarget, "no target of service "+j.call.Service+" is ready")
 	}
+	sdinvariant.RoutableTarget.Check(member.TargetState == savorydeal.TargetReady && member.Service == j.call.Service, func() string {
+		return "call of " + j.call.Service + " sent to " + string(member.Node) + ", " + string(member.TargetState) + " for " + member.Service
+	})
 	j.tried = append(j.tried, member.Node)
 	body, ok := j.body.Open()
 	if !ok {
@@ -186,6 +199,9 @@
 		}
 	}
 	// A target that was only busy has not failed.
+	if refusal.Outcome == savorydeal.OutcomeUnknown {
+		a.journey.unknownTries++
+	}
 	failed := refusal.Outcome == savorydeal.OutcomeUnknown || refusal.Reason == savorydeal.ReasonLinkLost
 	a.end(refusal.Outcome, refusal.Reason, failed, refusal.End)
 	return refusal
--- a/internal/sdserve/admitter.go
+++ b/internal/sdserve/admitter.go
@@ -24,6 +24,7 @@
 	waiting   map[savorydeal.Ticket]chan savorydeal.AdmissionAction
 	running   int
 	ticking   bool
+	watch     *admissionWatch
 }
 
 // NewAdmitter returns an admitter that asks the admission.
@@ -32,6 +33,7 @@
 		clock:     clock,
 		admission: admission,
 		waiting:   make(map[savorydeal.Ticket]chan savorydeal.AdmissionAction),
+		watch:     newAdmissionWatch(),
 	}
 }
 
@@ -39,6 +41,7 @@
 func (a *Admitter) Configure(slots, connections int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.watch.configured(slots, connections)
 	a.deliver(a.admission.Configure(a.clock.Now(), slots, connections))
 }
 
@@ -60,6 +63,7 @@
 	a.lastID++
 	arrival.Ticket = a.lastID
 	a.waiting[arrival.Ticket] = verdict
+	a.watch.arrived(arrival)
 	a.deliver(a.admission.Arrive(a.clock.Now(), arrival))
 	a.startTicking()
 	return arrival.Ticket
@@ -70,6 +74,7 @@
 func (a *Admitter) withdraw(ctx context.Context, ticket savorydeal.Ticket, verdict chan savorydeal.AdmissionAction) (savorydeal.Ticket, *savorydeal.Refusal) {
 	a.mu.Lock()
 	queued := a.admission.Cancel(a.clock.Now(), ticket)
+	a.watch.withdrawn(ticket, queued)
 	delete(a.waiting, ticket)
 	a.mu.Unlock()
 	if !queued {
@@ -126,6 +131,7 @@
 
 // deliver hands verdicts to those who wait. The caller holds mu.
 func (a *Admitter) deliver(actions []savorydeal.AdmissionAction) {
+	a.watch.decided(actions, a.running)
 	for _, action := range actions {
 		if action.Verdict == savorydeal.VerdictRun {
 			a.running++
--- a/internal/sdserve/server.go
+++ b/internal/sdserve/server.go
@@ -84,6 +84,7 @@
 		_ = body.Close()
 		return savorydeal.Answer{}, e.refuse(refusal, savorydeal.RunCanceled)
 	}
+	checkDispatch(gate)
 	response, refusal := e.server.target.do(ctx, gate.Address, e.handle, e.call, body, e.state.Deadline)
 	if refusal != nil {
 		return savorydeal.Answer{}, e.refuse(refusal, resultOf(refusal.Reason))
