--- a/internal/sdcarrier/body.go
+++ b/internal/sdcarrier/body.go
@@ -11,33 +11,9 @@
 	"github.com/savorydeal/savorydeal/internal/sdwire"
 )
 
-// copyParts hands a body to send in parts and returns its length. last is true
-// for the part that ends the body by the expected length (-1 if not known):
-// the message that ends the body can then go out in the same write.
-func copyParts(body io.Reader, expected int64, send func(part []byte, last bool) error) (int64, error) {
-	part := sdbody.Part()
-	defer sdbody.Release(part)
-	var sent int64
-	for {
-		n, err := body.Read(*part)
-		sent += int64(n)
-		if n > 0 {
-			if err := send((*part)[:n], sent == expected); err != nil {
-				return sent, err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return sent, nil
-		}
-		if err != nil {
-			return sent, fmt.Errorf("read body: %w", err)
-		}
-	}
-}
-
 // sendBody writes a request's body.
 func sendBody(conn *sdwire.Conn, body io.Reader, expected int64) (int64, error) {
-	return copyParts(body, expected, func(part []byte, last bool) error {
+	return sdbody.CopyParts(body, expected, func(part []byte, last bool) error {
 		frame := &sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Body{Body: part}}
 		if err := conn.Write(frame); err != nil {
 			return err
--- a/internal/sdcarrier/server.go
+++ b/internal/sdcarrier/server.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdbody"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
 	"github.com/savorydeal/savorydeal/internal/sdwire"
@@ -131,7 +132,7 @@
 	head := sdwire.EncodeAnswerHead(answer)
 	head.TryId = a.call.TryID
 	a.send(&sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Answer{Answer: head}})
-	length, err := copyParts(answer.Body, answer.ContentLength, a.sendPart)
+	length, err := sdbody.CopyParts(answer.Body, answer.ContentLength, a.sendPart)
 	if err != nil {
 		// Without an end the answer is taken as cut short, also by a fetch.
 		a.server.Log.Debug("answer not delivered", "try_id", a.call.TryID, "error", err)
--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -5,7 +5,7 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -174,7 +174,7 @@
 		return refusal
 	}
 	defer answer.Body.Close()
-	complete := writeAnswer(w, call.Chain.RequestID, answer)
+	complete := writeAnswer(w, call, answer)
 	if !complete {
 		settle(parent, call, nil)
 		e.Log.Warn("answer cut short", "request_id", call.Chain.RequestID, "service", call.Service)
@@ -215,39 +215,32 @@
 }
 
 // writeAnswer reports whether the caller was sent the whole answer.
-func writeAnswer(w http.ResponseWriter, requestID string, answer savorydeal.Answer) bool {
+func writeAnswer(w http.ResponseWriter, call savorydeal.Call, answer savorydeal.Answer) bool {
 	header := w.Header()
 	for _, field := range answer.Headers {
 		header.Add(field.Name, field.Value)
 	}
-	header.Set(sdheader.RequestID, requestID)
+	header.Set(sdheader.RequestID, call.Chain.RequestID)
 	w.WriteHeader(answer.Status)
-	return copyAnswer(w, answer) == nil
+	sent, err := copyAnswer(w, answer)
+	if err != nil {
+		return false
+	}
+	checkWhole(call, answer.End, sent)
+	return true
 }
 
 // copyAnswer flushes each part, so that a streamed answer is not held back,
-// unless it is the last by the answer's length.
-func copyAnswer(w http.ResponseWriter, answer savorydeal.Answer) error {
+// unless it is the last by the answer's length. It returns the bytes sent.
+func copyAnswer(w http.ResponseWriter, answer savorydeal.Answer) (int64, error) {
 	controller := http.NewResponseController(w)
-	part := sdbody.Part()
-	defer sdbody.Release(part)
-	var sent int64
-	for {
-		n, err := answer.Body.Read(*part)
-		sent += int64(n)
-		if n > 0 {
-			if _, err := w.Write((*part)[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
+	return sdbody.CopyParts(answer.Body, answer.ContentLength, func(part []byte, last bool) error {
+		if _, err := w.Write(part); err != nil {
+			return fmt.Errorf("write answer: %w", err)
 		}
-		if sent != answer.ContentLength {
+		if !last {
 			_ = controller.Flush()
 		}
-	}
+		return nil
+	})
 }
