--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -5,13 +5,14 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdbody"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
 	"github.com/savorydeal/savorydeal/internal/sdheader"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
@@ -173,7 +174,7 @@
 		return refusal
 	}
 	defer answer.Body.Close()
-	complete := writeAnswer(w, call.Chain.RequestID, answer)
+	complete := writeAnswer(w, call, answer)
 	if !complete {
 		settle(parent, call, nil)
 		e.Log.Warn("answer cut short", "request_id", call.Chain.RequestID, "service", call.Service)
@@ -214,35 +215,32 @@
 }
 
 // writeAnswer reports whether the caller was sent the whole answer.
-func writeAnswer(w http.ResponseWriter, requestID string, answer savorydeal.Answer) bool {
+func writeAnswer(w http.ResponseWriter, call savorydeal.Call, answer savorydeal.Answer) bool {
 	header := w.Header()
 	for _, field := range answer.Headers {
 		header.Add(field.Name, field.Value)
 	}
-	header.Set(sdheader.RequestID, requestID)
+	header.Set(sdheader.RequestID, call.Chain.RequestID)
 	w.WriteHeader(answer.Status)
-	return copyAnswer(w, answer.Body) == nil
+	sent, err := copyAnswer(w, answer)
+	if err != nil {
+		return false
+	}
+	checkWhole(call, answer.End, sent)
+	return true
 }
 
-const copyBytes = 32 << 10
-
-// copyAnswer flushes each part, so that a streamed answer is not held back.
-func copyAnswer(w http.ResponseWriter, body io.Reader) error {
+// copyAnswer flushes each part, so that a streamed answer is not held back,
+// unless it is the last by the answer's length. It returns the bytes sent.
+func copyAnswer(w http.ResponseWriter, answer savorydeal.Answer) (int64, error) {
 	controller := http.NewResponseController(w)
-	part := make([]byte, copyBytes)
-	for {
-		n, err := body.Read(part)
-		if n > 0 {
-			if _, err := w.Write(part[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
+	return sdbody.CopyParts(answer.Body, answer.ContentLength, func(part []byte, last bool) error {
+		if _, err := w.Write(part); err != nil {
+			return fmt.Errorf("write answer: %w", err)
 		}
-		if err != nil {
-			return err
+		if !last {
+			_ = controller.Flush()
 		}
-		_ = controller.Flush()
-	}
+		return nil
+	})
 }
