--- a/internal/sdkeyed/owner.go
+++ b/internal/sdkeyed/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbody"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 const (
@@ -106,6 +107,7 @@
 	decision := o.records.Claim(now, claim)
 	id := waiterID{service: claim.Service, caller: claim.Caller, key: claim.Key}
 	if decision.Verdict == savorydeal.KeyRun {
+		sdinvariant.AtMostOnce.Check(o.waiters[id] == nil, func() string { return "key " + claim.Key + " runs while its first run is going" })
 		o.waiters[id] = make(chan struct{})
 	}
 	return decision, o.waiters[id]
@@ -132,6 +134,7 @@
 	}
 	kept := savorydeal.StoredAnswer{Status: answer.Status, Headers: answer.Headers, Body: whole}
 	o.end(claim, func(now time.Time) { o.records.Finish(now, claim, kept) })
+	answer.ContentLength = int64(len(whole))
 	answer.Body = io.NopCloser(bytes.NewReader(whole))
 	return answer, nil
 }
@@ -156,9 +159,10 @@
 
 func stored(answer savorydeal.StoredAnswer) savorydeal.Answer {
 	return savorydeal.Answer{
-		Status:  answer.Status,
-		Headers: answer.Headers,
-		Body:    io.NopCloser(bytes.NewReader(answer.Body)),
-		End:     &savorydeal.AnswerEnd{},
+		Status:        answer.Status,
+		Headers:       answer.Headers,
+		ContentLength: int64(len(answer.Body)),
+		Body:          io.NopCloser(bytes.NewReader(answer.Body)),
+		End:           &savorydeal.AnswerEnd{},
 	}
 }
--- a/internal/sdlink/cut.go
+++ b/internal/sdlink/cut.go
@@ -9,10 +9,10 @@
 	l.mu.Lock()
 	l.cut = cut
 	var ended []*yamux.Session
-	for address, session := range l.sessions {
+	for address, known := range l.links {
 		if cut != nil && cut(address) {
-			ended = append(ended, session)
-			delete(l.sessions, address)
+			ended = append(ended, known.session)
+			delete(l.links, address)
 		}
 	}
 	l.mu.Unlock()
