Important requests are not refused at a door by an old or single word

Cause: in the driver's surge 10x and slow-and-surge cases a few important calls were refused at doors by one target's level while another target ran less important ones, and after the trigger by a level heard a while ago. For the most important class a door now takes the lowest level heard within one control interval, and without fresh word refuses none of it.

--- a/internal/sdpressure/door.go
+++ b/internal/sdpressure/door.go
@@ -52,6 +52,9 @@
 type word struct {
 	level float64
 	at    time.Time
+	// least is the lowest level heard of late, at leastAt.
+	least   float64
+	leastAt time.Time
 }
 
 // New returns a door that knows of no pressure.
@@ -91,10 +94,14 @@
 func (d *Door) Admit(now time.Time, service, operation string, chain savorydeal.Chain) (bool, int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	level := d.levelOf(now, service)
+	levelOf := d.levelOf
+	if chain.Class == savorydeal.ClassCritical {
+		levelOf = d.leastOf
+	}
+	level := levelOf(now, service)
 	for deeper, seen := range d.paths[path{service, operation}] {
 		if now.Sub(seen) < pathForget {
-			level = max(level, d.levelOf(now, deeper))
+			level = max(level, levelOf(now, deeper))
 		}
 	}
 	return Admits(int(level), chain.Class, chain.Rank), int(level)
@@ -115,6 +122,23 @@
 	return known.level * float64(levelGone-age) / float64(levelGone-levelHold)
 }
 
+// leastOf is the level for the most important class. As long as any target of
+// the service admits less important calls, or there is no fresh word, none of
+// the most important is refused at a door: it may find its place there.
+func (d *Door) leastOf(now time.Time, service string) float64 {
+	level := d.levelOf(now, service)
+	known := d.services[service]
+	switch {
+	case known == nil:
+		return 0
+	case now.Sub(known.at) > ControlInterval:
+		return min(level, ImportantLevel)
+	case now.Sub(known.leastAt) <= ControlInterval:
+		return min(level, known.least)
+	}
+	return level
+}
+
 // Learn takes the word that an answer or a refusal has brought back.
 func (d *Door) Learn(now time.Time, service, operation string, end savorydeal.AnswerEnd) {
 	d.mu.Lock()
@@ -143,9 +167,13 @@
 func (d *Door) learn(now time.Time, service string, level int) {
 	known := d.services[service]
 	if known == nil {
-		d.services[service] = &word{level: float64(level), at: now}
+		d.services[service] = &word{level: float64(level), at: now, least: float64(level), leastAt: now}
 		return
 	}
+	if float64(level) <= known.least || now.Sub(known.leastAt) > ControlInterval {
+		known.least = float64(level)
+		known.leastAt = now
+	}
 	known.level = levelWeight*float64(level) + (1-levelWeight)*d.levelOf(now, service)
 	known.at = now
 }
--- a/internal/sdpressure/driver_test.go
+++ b/internal/sdpressure/driver_test.go
@@ -82,6 +82,9 @@
 	refused  []driveRefusal
 	begun    []driveRefusal
 	runs     int
+	// work is the seconds of service drawn by the judgedRuns.
+	work       float64
+	judgedRuns float64
 }
 
 type driveTarget struct {
@@ -235,6 +238,10 @@
 	if d.c.on(d.now) {
 		work *= d.c.slow
 	}
+	if d.judged(d.now) {
+		d.work += work / float64(time.Second)
+		d.judgedRuns++
+	}
 	d.at(time.Duration(work), func() {
 		actions := t.queue.Finish(d.wall(), savorydeal.Completion{Ticket: ticket, Latency: time.Duration(work), Result: savorydeal.RunSucceeded})
 		t.answer(call, func() {
@@ -265,22 +272,24 @@
 	fairness             float64
 }
 
+// judged reports whether a time is in a trigger and past its settling.
+func (d *driver) judged(at time.Duration) bool {
+	for _, span := range d.c.spans {
+		if at >= span[0]+time.Second && at < span[1] {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *driver) judge() driveResult {
 	res := driveResult{recovered: true}
 	offered, done, importantOffered, importantDone, importantEnded, length := 0, 0, 0, 0, 0, 0.0
 	for _, span := range d.c.spans {
 		length += (span[1] - span[0] - time.Second).Seconds()
 	}
-	judged := func(at time.Duration) bool {
-		for _, span := range d.c.spans {
-			if at >= span[0]+time.Second && at < span[1] {
-				return true
-			}
-		}
-		return false
-	}
 	for _, one := range d.requests {
-		if judged(one.arrived) {
+		if d.judged(one.arrived) {
 			offered++
 			if one.class == savorydeal.ClassCritical {
 				importantOffered++
@@ -289,14 +298,15 @@
 				}
 			}
 		}
-		if one.completed && judged(one.ended) {
+		if one.completed && d.judged(one.ended) {
 			done++
 			if one.class == savorydeal.ClassCritical {
 				importantEnded++
 			}
 		}
 	}
-	capacity := d.c.capacity() / d.c.slow * length
+	// The service times are drawn: what the slots allowed follows from them.
+	capacity := float64(driveTargets*d.c.slots) * length / (d.work / max(1, d.judgedRuns))
 	res.total = float64(done) / min(capacity, float64(offered))
 	res.important = float64(importantDone) / float64(importantOffered)
 	if float64(importantOffered) > capacity {
@@ -318,7 +328,7 @@
 		res.recovered = res.recovered && found
 	}
 	res.violations, res.refusals = d.violations()
-	res.fairness = d.fairness(judged)
+	res.fairness = d.fairness()
 	return res
 }
 
@@ -368,12 +378,12 @@
 
 // fairness is Jain's index of completions of low requests over the callers
 // that ask for at least an equal share.
-func (d *driver) fairness(judged func(time.Duration) bool) float64 {
+func (d *driver) fairness() float64 {
 	worst := 1.0
 	for _, class := range savorydeal.Classes() {
 		got, asked, all := map[string]float64{}, map[string]float64{}, 0.0
 		for _, one := range d.requests {
-			if one.class != class || !judged(one.arrived) {
+			if one.class != class || !d.judged(one.arrived) {
 				continue
 			}
 			asked[one.caller]++
@@ -416,3 +426,18 @@
 	*e = (*e)[:len(*e)-1]
 	return last
 }
+
+// overloaded reports whether the requests arriving in the trigger needed more
+// than a part of what the slots allow.
+func (d *driver) overloaded(part float64) bool {
+	offered, length := 0, 0.0
+	for _, one := range d.requests {
+		if d.c.on(one.arrived) {
+			offered++
+		}
+	}
+	for _, span := range d.c.spans {
+		length += (span[1] - span[0]).Seconds()
+	}
+	return float64(offered) > part*d.c.capacity()/d.c.slow*length
+}
