The limit is found by trials, AIMD behind them

Cause: the fixed limit believes whatever slots a target announces. Weighed on the same saturated targets (TestLimitersOnSaturatedTargets -v): gradient and AIMD never find a target that announces three times its slots and queues within itself; delay gives up to a third of the throughput away when an honest target is five times slower, more than half with bimodal latencies. A trial runs a saturated target with three quarters of its limit for a while and keeps that only if the middle of its latencies became shorter in proportion; shedding and timeouts lower the limit at once. With the mean in place of the middle half, bimodal latencies misled the trial to 22 of 40 slots; with the middle half it stays at 40.

--- a/internal/sdnode/pressure.go
+++ b/internal/sdnode/pressure.go
@@ -20,7 +20,7 @@
 	if overload.Unbounded {
 		return sdadmission.NewFIFO(sdlimit.Unlimited{})
 	}
-	limiter := sdlimit.NewFixed(firstSlots)
+	limiter := newLimiter(overload.Limiter)
 	if overload.FIFO {
 		return sdadmission.NewFIFO(limiter)
 	}
@@ -31,6 +31,21 @@
 	})
 }
 
+func newLimiter(name sdsettings.Limiter) savorydeal.Limiter {
+	switch name {
+	case sdsettings.LimiterFixed:
+		return sdlimit.NewFixed(firstSlots)
+	case sdsettings.LimiterAIMD:
+		return sdlimit.NewAIMD(firstSlots)
+	case sdsettings.LimiterGradient:
+		return sdlimit.NewGradient(firstSlots)
+	case sdsettings.LimiterDelay:
+		return sdlimit.NewDelay(firstSlots)
+	default:
+		return sdlimit.NewTrial(firstSlots)
+	}
+}
+
 // newDoor puts the door before the path of a call.
 func (n *Node) newDoor(next savorydeal.Carrier) *sdpressure.Carrier {
 	door := sdpressure.New(n.newRandom())
