--- a/decisions.go
+++ b/decisions.go
@@ -39,6 +39,9 @@
 	// Latency is the time on the target alone.
 	Latency time.Duration
 	Result  RunResult
+	// Onward tells that the call has called deeper services: its time and its
+	// end are theirs as well.
+	Onward bool
 }
 
 // RunResult is how a run on the target ended, as a limit learns from it.
@@ -79,6 +82,8 @@
 	// not grow.
 	Queued bool
 	Result RunResult
+	// Onward tells that the run has called deeper services.
+	Onward bool
 }
 
 // Limiter finds how many calls one target runs at once without slowing down.
--- a/internal/sdadmission/admission.go
+++ b/internal/sdadmission/admission.go
@@ -217,6 +217,7 @@
 		Running: run.atStart,
 		Queued:  len(q.queue) > 0,
 		Result:  completion.Result,
+		Onward:  completion.Onward,
 	})
 	return q.settle(now, nil)
 }
--- a/internal/sdlimit/aimd.go
+++ b/internal/sdlimit/aimd.go
@@ -35,7 +35,8 @@
 	a.paused = max(0, a.paused-1)
 	switch sample.Result {
 	case savorydeal.RunShed, savorydeal.RunTimedOut:
-		if a.paused == 0 {
+		// A deeper service that times out says nothing of this target.
+		if a.paused == 0 && !sample.Onward {
 			a.limit = max(1, a.limit*aimdBackoff)
 			a.paused = aimdPause * a.limit
 		}
--- a/internal/sdlimit/limit_test.go
+++ b/internal/sdlimit/limit_test.go
@@ -122,3 +122,26 @@
 		is.True(limiter.Limit() <= 2)
 	}
 }
+
+// A deep service slows and its calls time out: the limit of the service before
+// it must stay, or it would be short of slots when the deep one is back.
+func TestDeepSlownessLeavesTheLimitBefore(t *testing.T) {
+	is := is.New(t)
+	limiter := sdlimit.NewTrial(20)
+	now := time.Unix(0, 0)
+	timedOut := 0
+	for i := range 5000 {
+		sample := savorydeal.LimitSample{Latency: time.Second, Running: limiter.Limit(), Queued: true, Result: savorydeal.RunSucceeded, Onward: true}
+		if i%2 == 0 {
+			sample.Result = savorydeal.RunTimedOut
+			timedOut++
+		}
+		limiter.Observe(now, sample)
+	}
+	is.True(timedOut > 0)
+	is.Equal(limiter.Limit(), 20)
+	for range 100 {
+		limiter.Observe(now, savorydeal.LimitSample{Latency: time.Second, Running: limiter.Limit(), Queued: true, Result: savorydeal.RunTimedOut})
+	}
+	is.True(limiter.Limit() < 20) // its own timeouts count
+}
--- a/internal/sdlimit/trial.go
+++ b/internal/sdlimit/trial.go
@@ -93,8 +93,9 @@
 // Observe learns from one finished run.
 func (t *Trial) Observe(now time.Time, sample savorydeal.LimitSample) {
 	t.aimd.Observe(now, sample)
-	// Only a run that began while the target was full tells of its limit.
-	if sample.Result != savorydeal.RunSucceeded || !sample.Queued || sample.Running < t.Limit() {
+	// Only a run that began while the target was full tells of its limit, and
+	// only if its time was spent here.
+	if sample.Result != savorydeal.RunSucceeded || sample.Onward || !sample.Queued || sample.Running < t.Limit() {
 		return
 	}
 	if t.phase == phaseTrial && sample.Running > t.tried {
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -17,6 +17,7 @@
 }
 
 func (n *Node) registerGauges() {
+	n.registerPressureGauges()
 	n.metrics.Gauge("target_running", "Calls running on this VM's target.", func() float64 {
 		return float64(n.admitter.Signal().Running)
 	})
@@ -122,6 +123,7 @@
 		section("members", members),
 		section("policies", policies),
 		section("target", target),
+		section("pressure", n.dumpPressure()),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
 	}
 }
--- a/internal/sdnode/pressure.go
+++ b/internal/sdnode/pressure.go
@@ -77,3 +77,53 @@
 		NoRamp:     off.Ramp || n.settings.Overload.Unbounded,
 	}, n.newRandom())
 }
+
+// registerPressureGauges shows overload as this node sees it.
+func (n *Node) registerPressureGauges() {
+	n.metrics.Gauge("target_level", "Admission level of this VM's target: 0 admits everything, 512 nothing.", func() float64 {
+		return float64(n.admitter.Signal().DropLevel)
+	})
+	n.metrics.Gauge("target_delay_seconds", "Recent time of a call in the queue of this VM's target.", func() float64 {
+		return n.admitter.Signal().Delay.Seconds()
+	})
+	n.metrics.Gauge("door_level", "Highest admission level of any service as last heard by this node.", func() float64 {
+		highest := 0
+		for _, pressure := range n.door.Door.Levels(n.clock.Now()) {
+			highest = max(highest, pressure.DropLevel)
+		}
+		return float64(highest)
+	})
+	n.metrics.Gauge("targets_ejected", "Targets that this node leaves out because calls to them fail.", func() float64 {
+		return float64(len(n.placement.Ejected(n.clock.Now())))
+	})
+}
+
+// pressureDump is the dump of overload as this node sees it.
+type pressureDump struct {
+	// Level is that of this VM's target.
+	Level int `json:"level"`
+	// Services holds the levels above 0 that this node has heard of.
+	Services []serviceLevelDump `json:"services"`
+	Ejected  []string           `json:"ejected"`
+}
+
+type serviceLevelDump struct {
+	Service string `json:"service"`
+	Level   int    `json:"level"`
+}
+
+func (n *Node) dumpPressure() pressureDump {
+	now := n.clock.Now()
+	dump := pressureDump{
+		Level:    n.admitter.Signal().DropLevel,
+		Services: []serviceLevelDump{},
+		Ejected:  []string{},
+	}
+	for _, pressure := range n.door.Door.Levels(now) {
+		dump.Services = append(dump.Services, serviceLevelDump{Service: pressure.Service, Level: pressure.DropLevel})
+	}
+	for _, node := range n.placement.Ejected(now) {
+		dump.Ejected = append(dump.Ejected, string(node))
+	}
+	return dump
+}
--- a/internal/sdpressure/door.go
+++ b/internal/sdpressure/door.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -198,5 +200,6 @@
 			levels = append(levels, savorydeal.ServicePressure{Service: service, DropLevel: level})
 		}
 	}
+	slices.SortFunc(levels, func(a, b savorydeal.ServicePressure) int { return strings.Compare(a.Service, b.Service) })
 	return levels
 }
--- a/internal/sdserve/server.go
+++ b/internal/sdserve/server.go
@@ -146,6 +146,7 @@
 			Ticket:  e.ticket,
 			Latency: e.server.clock.Now().Sub(e.started),
 			Result:  result,
+			Onward:  e.state.Onward(),
 		})
 	})
 	return savorydeal.AnswerEnd{
