--- a/internal/sdbenchoverload/overload.go
+++ b/internal/sdbenchoverload/overload.go
@@ -84,7 +84,7 @@
 // baselineScenario reports whether a baseline is run: a surge of ten times
 // without control needs more open files than one process has.
 func baselineScenario(s scenario) bool {
-	return !s.misled && !s.cut && !s.lost && s.surge <= baselineMost
+	return !s.closed && !s.misled && !s.cut && !s.lost && s.surge <= baselineMost
 }
 
 // ablationJobs are all variants on the first shape, or those named.
@@ -153,7 +153,11 @@
 	start := time.Now()
 	faults := make(chan error, 1)
 	go func() { faults <- b.trigger(job.scenario, timing, start) }()
-	l.run(ctx, start, timing.total())
+	if job.scenario.closed {
+		l.runClosed(ctx, start, job.scenario, timing)
+	} else {
+		l.run(ctx, start, timing.total())
+	}
 	if err := <-faults; err != nil {
 		return nil, err
 	}
--- a/internal/sdbenchoverload/scenario.go
+++ b/internal/sdbenchoverload/scenario.go
@@ -52,6 +52,9 @@
 	surge float64
 	// slow multiplies the bottleneck's service time.
 	slow int64
+	// closed makes callers send their next request only after the last one
+	// ended; the surge multiplies their number.
+	closed bool
 	// waves splits the trigger into equal waves with pauses as long.
 	waves int
 	// lost stops a third of the targets of every service.
@@ -71,6 +74,7 @@
 		{name: "slow_surge", surge: 3, slow: slowFactor, weight: 1},
 		{name: "slow_5x", surge: 1, slow: slowFactor, weight: 1},
 		{name: "surge_3x", surge: 3, slow: 1, weight: 1},
+		{name: "closed_3x", surge: 3, slow: 1, closed: true, weight: 1},
 		{name: "waves", surge: 3, slow: 1, waves: waveCount, weight: 1},
 		{name: "third_lost", surge: 1, slow: 1, lost: true, weight: 1},
 		{name: "dc_cut", surge: 1, slow: 1, cut: true, weight: 1},
