--- a/internal/sdbenchoverload/plot.go
+++ b/internal/sdbenchoverload/plot.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"image/color"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 
 	// The format of the plots.
@@ -20,8 +20,8 @@
 
 const (
 	plotBin    = 500 * time.Millisecond
-	plotWidth  = 16 * vg.Centimeter
-	plotHeight = 8 * vg.Centimeter
+	plotWidth  = 6 * vg.Inch
+	plotHeight = 3 * vg.Inch
 	// plotArgument names the folder that the plots go to.
 	plotArgument = "plots="
 )
@@ -61,39 +61,30 @@
 	p.X.Label.Text = "seconds since the start"
 	p.Y.Label.Text = "requests/s"
 	p.Legend.Top = true
+	var lines []any
 	for _, r := range runs {
 		all := func(*entry) bool { return true }
 		done := func(one *entry) bool { return one.completed }
 		important := func(one *entry) bool { return one.completed && one.operation.class == savorydeal.ClassCritical }
 		switch r.run.variant.name {
 		case controlled().name:
-			for _, line := range []struct {
-				name    string
-				matches func(*entry) bool
-				colour  color.Color
-			}{
-				{"asked", all, color.Gray{Y: 170}},
-				{"completed", done, color.RGBA{B: 200, A: 255}},
-				{"completed, critical", important, color.RGBA{R: 200, A: 255}},
-			} {
-				if err := addLine(p, r.run, line.name, line.matches, line.colour); err != nil {
-					return err
-				}
-			}
+			lines = append(lines, "asked", rates(r.run, all), "completed", rates(r.run, done),
+				"completed, critical", rates(r.run, important))
 		case baselines()[0].name:
-			if err := addLine(p, r.run, "completed, no control", done, color.RGBA{G: 140, A: 255}); err != nil {
-				return err
-			}
+			lines = append(lines, "completed, no control", rates(r.run, done))
 		}
 	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot %s: %w", name, err)
+	}
 	if err := p.Save(plotWidth, plotHeight, file); err != nil {
 		return fmt.Errorf("write %s: %w", file, err)
 	}
 	return nil
 }
 
-// addLine adds the rate of the requests that match, by the time they arrived.
-func addLine(p *plot.Plot, r *run, name string, matches func(*entry) bool, colour color.Color) error {
+// rates returns the rate of the requests that match, by the time they arrived.
+func rates(r *run, matches func(*entry) bool) plotter.XYs {
 	bins := make(plotter.XYs, int(r.timing.total()/plotBin))
 	for i := range bins {
 		bins[i].X = (time.Duration(i)*plotBin + plotBin/2).Seconds()
@@ -103,12 +94,5 @@
 			bins[bin].Y += 1 / plotBin.Seconds()
 		}
 	}
-	line, err := plotter.NewLine(bins)
-	if err != nil {
-		return fmt.Errorf("line %s: %w", name, err)
-	}
-	line.Color = colour
-	p.Add(line)
-	p.Legend.Add(name, line)
-	return nil
+	return bins
 }
