--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 
 # Rewrites the golden files from what the code gives now.
 golden:
-	go test ./... -update-golden
+	@for folder in $$(go list -f "{{if .TestGoFiles}}{{.Dir}}{{else if .XTestGoFiles}}{{.Dir}}{{end}}" ./... | xargs grep -ls sdgolden --include=*_test.go -r | xargs -n1 dirname | sort -u); do go test $$folder -update-golden || exit 1; done
 
 measure:
 	@mkdir -p docs/measurements
--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -138,7 +138,7 @@
 	history := add("history", "the newest changes of one policy")
 	history.AddPositionalValue(&o.service, "SERVICE", 1, true, "service the policy is of")
 	put := add("put", "create or replace a policy and wait until it is in force")
-	put.AddPositionalValue(&o.file, "FILE", 1, true, "JSON file of the policy, - for standard input")
+	put.AddPositionalValue(&o.file, "FILE", 1, false, "JSON file of the policy; without it standard input")
 	remove := add("delete", "delete a policy")
 	remove.AddPositionalValue(&o.service, "SERVICE", 1, true, "service the policy is of")
 	wait := add("wait", "wait until a version is in force")
--- a/internal/sdcli/policy.go
+++ b/internal/sdcli/policy.go
@@ -122,21 +122,21 @@
 
 func (c *client) readPolicy() (sdoperatorapi.Policy, error) {
 	var policy sdoperatorapi.Policy
-	input := c.stdin
-	if c.options.file != "-" {
+	name, input := "standard input", c.stdin
+	if c.options.file != "" {
 		file, err := os.Open(c.options.file)
 		if err != nil {
 			return policy, &usageError{text: err.Error()}
 		}
 		defer file.Close()
-		input = file
+		name, input = c.options.file, file
 	}
 	text, err := io.ReadAll(io.LimitReader(input, maxPolicyBytes))
 	if err != nil {
 		return policy, &usageError{text: fmt.Sprintf("read the policy: %v", err)}
 	}
 	if err := policy.UnmarshalJSON(text); err != nil {
-		return policy, &usageError{text: fmt.Sprintf("%s is no policy: %v", c.options.file, err)}
+		return policy, &usageError{text: fmt.Sprintf("%s is no policy: %v", name, err)}
 	}
 	return policy, nil
 }
--- /dev/null
+++ b/internal/sdlink/link_test.go
@@ -0,0 +1,140 @@
+package sdlink_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdlink"
+	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
+	"github.com/savorydeal/savorydeal/internal/sdwire"
+)
+
+// lockedBuffer takes log lines from several goroutines.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) contains(part string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Contains(b.text.String(), part)
+}
+
+// echo answers a fetch message with itself.
+func echo(_ context.Context, stream *sdlink.Stream) {
+	var frame sdpeerpb.CallFrame
+	if stream.Read(&frame) == nil {
+		_ = stream.Write(&frame)
+	}
+}
+
+func serve(t *testing.T) (address string, log *lockedBuffer) {
+	t.Helper()
+	log = &lockedBuffer{}
+	logger := hclog.New(&hclog.LoggerOptions{Output: log})
+	links := sdlink.New(sdlink.Identity{Node: "far", Generation: 7}, sdclock.System{}, logger)
+	links.Handle(sdlink.KindControl, echo)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = links.Serve(context.Background(), listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		links.Close()
+	})
+	return listener.Addr().String(), log
+}
+
+func expectServing(t *testing.T, address string) {
+	t.Helper()
+	is := is.New(t)
+	links := sdlink.New(sdlink.Identity{Node: "near"}, sdclock.System{}, hclog.NewNullLogger())
+	defer links.Close()
+	stream, err := links.Open(t.Context(), address, sdlink.KindControl)
+	is.NoErr(err)
+	defer stream.Abort()
+	is.NoErr(stream.Send(&sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Body{Body: []byte("x")}}))
+	is.NoErr(stream.ReadOpen())
+	is.Equal(stream.Peer, sdlink.Identity{Node: "far", Generation: 7})
+	var frame sdpeerpb.CallFrame
+	is.NoErr(stream.Read(&frame))
+	is.Equal(frame.GetBody(), []byte("x"))
+}
+
+func TestGarbageOnThePeerAddressIsRefusedAndLogged(t *testing.T) {
+	for _, garbage := range []string{"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "\x00\x09\x00\x00\x00\x00\x00\x01\x00\x00\x00\x00", strings.Repeat("\xff", 64)} {
+		is := is.New(t)
+		address, log := serve(t)
+		conn, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		_, err = io.WriteString(conn, garbage)
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		_, err = io.Copy(io.Discard, conn)
+		is.NoErr(err) // the node has closed the connection
+		is.True(log.contains("only nodes connect to the peer address"))
+		expectServing(t, address)
+	}
+}
+
+// open opens a stream by hand and returns what the node says to it.
+func open(t *testing.T, address string, opening *sdpeerpb.StreamOpen) *sdpeerpb.StreamOpen {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	cfg := yamux.DefaultConfig()
+	cfg.LogOutput = io.Discard
+	session, err := yamux.Client(conn, cfg)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = session.Close() })
+	raw, err := session.OpenStream()
+	is.NoErr(err)
+	stream := sdwire.NewConn(raw)
+	is.NoErr(stream.Send(opening))
+	var answer sdpeerpb.StreamOpen
+	is.NoErr(stream.Read(&answer))
+	return &answer
+}
+
+func TestPeerOfAnotherVersion(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		opening *sdpeerpb.StreamOpen
+		refused string
+	}{
+		{"newer that still speaks ours", &sdpeerpb.StreamOpen{Version: 9, OldestVersion: 1, Kind: "control"}, ""},
+		{"newer that does not", &sdpeerpb.StreamOpen{Version: 9, OldestVersion: 8, Kind: "control"}, "field version"},
+		{"older than any", &sdpeerpb.StreamOpen{Version: 0, OldestVersion: 0, Kind: "control"}, "field version"},
+		{"kind of a newer version", &sdpeerpb.StreamOpen{Version: 1, OldestVersion: 1, Kind: "gossip_9"}, "field kind"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, log := serve(t)
+			answer := open(t, address, test.opening)
+			is.True(strings.Contains(answer.GetError(), test.refused))
+			is.Equal(answer.GetError() == "", test.refused == "")
+			is.Equal(log.contains("stream refused"), test.refused != "")
+			expectServing(t, address)
+		})
+	}
+}
