Keys name their owner, or fall into parts with a fenced owner; records move at a stop

Cause: the owner of a key was picked by hash over each node's roster: two rosters gave two owners, and a stop lost all records. Ruled out: keeping the caller in the record's name, since a caller that resends from another address would then run twice; scanning all records for expiry under the lock. Before: resends after an owner's restart ran again. After: tests of every decision on records, holds, ages and their export pass (sdkeys).

--- a/decisions.go
+++ b/decisions.go
@@ -153,12 +153,41 @@
 
 // KeyClaim asks for leave to run a keyed call.
 type KeyClaim struct {
-	Service    string
-	Caller     string
-	Key        string
-	BodyDigest [32]byte
-	Deadline   time.Time
-	Retention  time.Duration
+	Service string
+	Caller  string
+	Key     string
+	// Digest covers method, path and body of the call.
+	Digest    [32]byte
+	Deadline  time.Time
+	Retention time.Duration
+	// RefuseUnseen, when set, is the answer to a key without a record: it may
+	// have been forgotten for its age or seen by an earlier owner.
+	RefuseUnseen *Refusal
+}
+
+// KeyState is what is known of the call of a key.
+type KeyState string
+
+// States of a key's call.
+const (
+	KeyRunning  KeyState = "running"
+	KeyFinished KeyState = "finished"
+	KeyLost     KeyState = "lost"
+)
+
+// KeyRecord is the memory of one key, as it is handed to another node.
+type KeyRecord struct {
+	// ID is a digest of service and key.
+	ID [16]byte
+	// Digest is a digest of caller, method, path and body.
+	Digest [16]byte
+	// Caller is a digest of the caller.
+	Caller uint64
+	State  KeyState
+	// Left is the time until the record may be forgotten.
+	Left time.Duration
+	// Answer is nil if it is not held.
+	Answer *StoredAnswer
 }
 
 // KeyVerdict is the answer to a KeyClaim.
@@ -190,7 +219,7 @@
 }
 
 // KeyRecords decides which keyed call runs, so that none runs twice. It is not
-// safe for concurrent use; sdserve serialises it.
+// safe for concurrent use; sdkeyed serialises it.
 type KeyRecords interface {
 	Claim(now time.Time, claim KeyClaim) KeyDecision
 	// NotRun withdraws a claim whose call was not run.
@@ -202,4 +231,9 @@
 	// Expire forgets what is past its retention and returns how many.
 	Expire(now time.Time) int
 	Held() int
+	// Export lists all records; a call that is still running is exported as
+	// lost.
+	Export(now time.Time) []KeyRecord
+	// Import adds the records of another node.
+	Import(now time.Time, records []KeyRecord)
 }
--- a/internal/sdkeyed/owner.go
+++ b/internal/sdkeyed/owner.go
@@ -1,10 +1,12 @@
-// Package sdkeyed runs keyed calls through the one node that owns their key,
-// so that a resend through any node meets the record of the first try.
+// Package sdkeyed runs keyed calls through the one process that decides on
+// their key, so that a resend through any node meets the record of the first
+// try.
 package sdkeyed
 
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"sync"
@@ -12,6 +14,8 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbody"
+	"github.com/savorydeal/savorydeal/internal/sdkeys"
+	"github.com/savorydeal/savorydeal/internal/sdretry"
 )
 
 const (
@@ -21,34 +25,94 @@
 	expireInterval = time.Second
 )
 
-// Owner decides on the keys this node owns. It is a savorydeal.Carrier.
+// Owner decides on the keys of this process, of the processes it has taken
+// over from, and of the parts it holds. It is a savorydeal.Carrier for calls
+// that this node is to decide on; it refuses others and never passes them on.
 type Owner struct {
-	Clock savorydeal.Clock
-	// Next runs a call that may run.
-	Next savorydeal.Carrier
+	clock savorydeal.Clock
+	self  sdkeys.Incarnation
+	// next runs a call that may run.
+	next savorydeal.Carrier
+	// lost is told of every call that ended unknown; it must not block.
+	lost func(savorydeal.Call, savorydeal.Refusal)
 
 	mu      sync.Mutex
 	records savorydeal.KeyRecords
+	ages    *sdkeys.Ages
+	resends *sdretry.Resends
 	waiters map[waiterID]chan struct{}
 	expired time.Time
+	// frozen is true once the records are about to be handed over, exported
+	// once another process may decide on them.
+	frozen   bool
+	exported bool
+	// decidesFor holds this process and those it has taken over from.
+	decidesFor map[sdkeys.Incarnation]predecessor
+	holdings   map[partID]*sdkeys.Holding
+	running    int
+}
+
+// predecessor is a process that this one decides for.
+type predecessor struct {
+	// started is when it began, on this process's clock.
+	started time.Time
+	// stopped is when its keys were taken over; zero for this process itself.
+	stopped time.Time
+	// version is that of the platform's object which names this process as
+	// the successor; 0 for this process itself.
+	version int64
 }
 
 type waiterID struct {
 	service string
-	caller  string
 	key     string
 }
 
+type partID struct {
+	service string
+	part    int
+}
+
 var _ savorydeal.Carrier = (*Owner)(nil)
 
-// NewOwner returns an owner with the given records.
-func NewOwner(clock savorydeal.Clock, records savorydeal.KeyRecords, next savorydeal.Carrier) *Owner {
+// NewOwner returns an owner of the keys that this process issues.
+func NewOwner(clock savorydeal.Clock, self sdkeys.Incarnation, records savorydeal.KeyRecords, next savorydeal.Carrier) *Owner {
 	return &Owner{
-		Clock:   clock,
-		Next:    next,
-		records: records,
-		waiters: make(map[waiterID]chan struct{}),
+		clock:      clock,
+		self:       self,
+		next:       next,
+		lost:       func(savorydeal.Call, savorydeal.Refusal) {},
+		records:    records,
+		ages:       sdkeys.NewAges(),
+		resends:    sdretry.NewResends(),
+		waiters:    make(map[waiterID]chan struct{}),
+		decidesFor: map[sdkeys.Incarnation]predecessor{self: {started: clock.Now()}},
+		holdings:   make(map[partID]*sdkeys.Holding),
+	}
+}
+
+// OnLost sets what is told of calls that ended unknown. It is called before
+// the owner serves.
+func (o *Owner) OnLost(lost func(savorydeal.Call, savorydeal.Refusal)) {
+	o.lost = lost
+}
+
+// Prefix returns a prefix for keys that this process decides on, or "" when it
+// is about to stop.
+func (o *Owner) Prefix() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.frozen {
+		return ""
 	}
+	return sdkeys.Prefix(o.self, o.clock.Now().Sub(o.decidesFor[o.self].started))
+}
+
+// Frozen reports whether the records have been handed over or are about to be.
+func (o *Owner) Frozen() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.frozen
 }
 
 // Held returns the number of keys remembered.
@@ -61,29 +125,21 @@
 // Carry runs the call if its key allows it, waits for an earlier try that is
 // still running, or answers from the record.
 func (o *Owner) Carry(ctx context.Context, call savorydeal.Call, body io.ReadCloser) (savorydeal.Answer, error) {
-	claim := savorydeal.KeyClaim{
-		Service:    call.Service,
-		Caller:     call.Chain.Caller,
-		Key:        call.Key,
-		BodyDigest: call.BodyDigest,
-		Deadline:   o.Clock.Now().Add(call.Timeout),
-		Retention:  call.KeyRetention,
-	}
 	for {
-		decision, ended := o.claim(claim)
-		switch decision.Verdict {
+		claimed := o.claim(call)
+		switch claimed.decision.Verdict {
 		case savorydeal.KeyRun:
-			return o.run(ctx, claim, call, body)
+			return o.run(ctx, claimed, call, body)
 		case savorydeal.KeyStored:
 			_ = body.Close()
-			return stored(decision.Answer), nil
+			return stored(claimed.decision.Answer), nil
 		case savorydeal.KeyRefuse:
 			_ = body.Close()
-			refusal := decision.Refusal
+			refusal := claimed.decision.Refusal
 			return savorydeal.Answer{}, &refusal
 		}
 		select {
-		case <-ended:
+		case <-claimed.ended:
 		case <-ctx.Done():
 			_ = body.Close()
 			return savorydeal.Answer{}, &savorydeal.Refusal{
@@ -95,61 +151,135 @@
 	}
 }
 
-func (o *Owner) claim(claim savorydeal.KeyClaim) (savorydeal.KeyDecision, <-chan struct{}) {
+// claimed is a claim and what was decided on it.
+type claimed struct {
+	claim    savorydeal.KeyClaim
+	decision savorydeal.KeyDecision
+	ended    <-chan struct{}
+	// fence is when the right to run the call ends; zero for never.
+	fence time.Time
+	// retries is what is left of the request's retries over its resends.
+	retries int
+}
+
+// claim decides under one lock whether this process may decide on the key, and
+// what it decides.
+func (o *Owner) claim(call savorydeal.Call) claimed {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.Clock.Now()
+	now := o.clock.Now()
 	if now.Sub(o.expired) >= expireInterval {
 		o.records.Expire(now)
+		o.resends.Expire(now)
 		o.expired = now
 	}
-	decision := o.records.Claim(now, claim)
-	id := waiterID{service: claim.Service, caller: claim.Caller, key: claim.Key}
-	if decision.Verdict == savorydeal.KeyRun {
+	right, refusal := o.rightFor(now, call)
+	if refusal != nil {
+		return claimed{decision: savorydeal.KeyDecision{Verdict: savorydeal.KeyRefuse, Refusal: *refusal}}
+	}
+	result := claimed{fence: right.fence, claim: savorydeal.KeyClaim{
+		Service:      call.Service,
+		Caller:       call.Chain.Caller,
+		Key:          call.Key,
+		Digest:       digestOf(call),
+		Deadline:     now.Add(call.Timeout),
+		Retention:    right.retention,
+		RefuseUnseen: right.refuseUnseen,
+	}}
+	result.decision = o.records.Claim(now, result.claim)
+	id := waiterID{service: call.Service, key: call.Key}
+	if result.decision.Verdict == savorydeal.KeyRun {
 		o.waiters[id] = make(chan struct{})
+		o.running++
+		result.retries = o.resends.Begin(now, resendKey(call), call.Chain.RetriesGranted)
 	}
-	return decision, o.waiters[id]
+	result.ended = o.waiters[id]
+	return result
+}
+
+func resendKey(call savorydeal.Call) string {
+	return call.Service + "\x00" + call.Key
+}
+
+// digestOf covers what makes two requests the same: a key reused for another
+// path must not be given the stored answer.
+func digestOf(call savorydeal.Call) [32]byte {
+	digest := sha256.New()
+	_, _ = io.WriteString(digest, call.Method+"\x00"+call.Path+"\x00")
+	_, _ = digest.Write(call.BodyDigest[:])
+	return [32]byte(digest.Sum(nil))
 }
 
 // run runs the call without the caller's cancellation: a caller that resends
 // the key after its connection broke gets the answer of this run.
-func (o *Owner) run(ctx context.Context, claim savorydeal.KeyClaim, call savorydeal.Call, body io.ReadCloser) (savorydeal.Answer, error) {
+func (o *Owner) run(ctx context.Context, claimed claimed, call savorydeal.Call, body io.ReadCloser) (answer savorydeal.Answer, err error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Timeout)
 	defer cancel()
-	answer, err := o.Next.Carry(ctx, call, body)
+	call.Fence = claimed.fence
+	call.Chain.RetriesGranted = claimed.retries
+	// A key whose end is not recorded would make every resend wait for ever.
+	settled := false
+	defer func() {
+		if !settled {
+			o.end(claimed, call, func(now time.Time) { o.records.Lost(now, claimed.claim) })
+		}
+	}()
+	answer, err = o.next.Carry(ctx, call, body)
 	if err != nil {
-		o.end(claim, func(now time.Time) { o.endRefused(now, claim, err) })
-		return savorydeal.Answer{}, err
+		settled = true
+		return savorydeal.Answer{}, o.endRefused(claimed, call, err)
 	}
 	whole, err := sdbody.ReadWhole(answer.Body, maxAnswerBytes)
 	if err != nil {
-		o.end(claim, func(now time.Time) { o.records.Lost(now, claim) })
-		return savorydeal.Answer{}, &savorydeal.Refusal{
+		settled = true
+		return savorydeal.Answer{}, o.endRefused(claimed, call, &savorydeal.Refusal{
 			Outcome: savorydeal.OutcomeUnknown,
 			Reason:  savorydeal.ReasonTargetFailed,
 			Detail:  "the request ran and its answer was cut short: " + err.Error(),
-		}
+			End:     answer.End,
+		})
 	}
+	settled = true
 	kept := savorydeal.StoredAnswer{Status: answer.Status, Headers: answer.Headers, Body: whole}
-	o.end(claim, func(now time.Time) { o.records.Finish(now, claim, kept) })
+	o.end(claimed, call, func(now time.Time) {
+		o.resends.Done(resendKey(call))
+		o.records.Finish(now, claimed.claim, kept)
+	})
 	answer.Body = io.NopCloser(bytes.NewReader(whole))
 	return answer, nil
 }
 
-func (o *Owner) endRefused(now time.Time, claim savorydeal.KeyClaim, err error) {
+// endRefused records a call without an answer and returns its refusal.
+func (o *Owner) endRefused(claimed claimed, call savorydeal.Call, err error) error {
 	var refusal *savorydeal.Refusal
-	if errors.As(err, &refusal) && refusal.Outcome == savorydeal.OutcomeNotRun {
-		o.records.NotRun(now, claim)
-		return
+	if !errors.As(err, &refusal) {
+		refusal = &savorydeal.Refusal{Outcome: savorydeal.OutcomeUnknown, Reason: savorydeal.ReasonTargetFailed, Detail: err.Error()}
+	}
+	if refusal.Outcome == savorydeal.OutcomeNotRun {
+		o.end(claimed, call, func(now time.Time) {
+			spent := 0
+			if refusal.End != nil {
+				spent = refusal.End.RetriesSpent
+			}
+			o.resends.NotRun(now, resendKey(call), claimed.retries, spent)
+			o.records.NotRun(now, claimed.claim)
+		})
+		return refusal
 	}
-	o.records.Lost(now, claim)
+	o.end(claimed, call, func(now time.Time) {
+		o.resends.Done(resendKey(call))
+		o.records.Lost(now, claimed.claim)
+	})
+	o.lost(call, *refusal)
+	return refusal
 }
 
-func (o *Owner) end(claim savorydeal.KeyClaim, record func(now time.Time)) {
-	id := waiterID{service: claim.Service, caller: claim.Caller, key: claim.Key}
+func (o *Owner) end(claimed claimed, call savorydeal.Call, record func(now time.Time)) {
+	id := waiterID{service: call.Service, key: call.Key}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	record(o.Clock.Now())
+	record(o.clock.Now())
+	o.running--
 	close(o.waiters[id])
 	delete(o.waiters, id)
 }
@@ -159,6 +289,6 @@
 		Status:  answer.Status,
 		Headers: answer.Headers,
 		Body:    io.NopCloser(bytes.NewReader(answer.Body)),
-		End:     &savorydeal.AnswerEnd{},
+		End:     &savorydeal.AnswerEnd{BodyBytes: int64(len(answer.Body))},
 	}
 }
--- a/internal/sdkeys/records.go
+++ b/internal/sdkeys/records.go
@@ -1,77 +1,100 @@
-// Package sdkeys decides which keyed call runs, so that none runs twice. It
-// does no I/O.
 package sdkeys
 
 import (
+	"crypto/sha256"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/savorydeal/savorydeal"
 )
 
 const (
 	// MaxStoredAnswerBytes is the largest answer kept for repeats.
 	MaxStoredAnswerBytes = 64 << 10
-	// MaxStoredBytes bounds all kept answers together.
-	MaxStoredBytes = 64 << 20
-)
-
-type recordState string
-
-const (
-	stateRunning  recordState = "running"
-	stateFinished recordState = "finished"
-	stateLost     recordState = "lost"
+	// MaxStoredBytes bounds all kept answers together; the oldest go first.
+	MaxStoredBytes = 48 << 20
+	// MaxRecords bounds the keys remembered. A key is never forgotten early to
+	// make room: new ones are refused instead.
+	MaxRecords = 600_000
+	// KeySkew is how far the clocks of VMs and callers may differ. Records
+	// outlive their retention by it.
+	KeySkew = 5 * time.Minute
 )
 
-type recordID struct {
-	service string
-	caller  string
-	key     string
-}
+type recordID [16]byte
 
+// record is the memory of one key: about 100 bytes without its answer.
 type record struct {
-	state     recordState
-	digest    [32]byte
-	answer    savorydeal.StoredAnswer
-	held      bool
-	retention time.Duration
+	digest [16]byte
+	caller uint64
+	state  savorydeal.KeyState
+	// expires is when the record may be forgotten; zero while running.
 	expires   time.Time
+	retention time.Duration
+	answer    *savorydeal.StoredAnswer
 }
 
 // Records is the savorydeal.KeyRecords of one node.
 type Records struct {
-	records     map[recordID]*record
+	records map[recordID]record
+	// due lists the records by the second in which they expire.
+	due map[int64][]recordID
+	// swept is the last second whose records have been forgotten.
+	swept int64
+	// answers lists the records with a held answer, the oldest first.
+	answers     []recordID
 	storedBytes int
+	maxRecords  int
 }
 
 var _ savorydeal.KeyRecords = (*Records)(nil)
 
 // New returns empty records.
 func New() *Records {
-	return &Records{records: make(map[recordID]*record)}
+	return NewBounded(MaxRecords)
 }
 
-// idOf includes the caller: an equal key of another caller is another key.
+// NewBounded returns empty records for at most maxRecords keys.
+func NewBounded(maxRecords int) *Records {
+	return &Records{
+		records:    make(map[recordID]record),
+		due:        make(map[int64][]recordID),
+		maxRecords: maxRecords,
+	}
+}
+
+// idOf leaves the caller out: an equal key of another caller must be refused,
+// and a caller that resends from another address must meet its own record.
 func idOf(claim savorydeal.KeyClaim) recordID {
-	return recordID{service: claim.Service, caller: claim.Caller, key: claim.Key}
+	sum := sha256.Sum256([]byte(claim.Service + "\x00" + claim.Key))
+	return recordID(sum[:16])
+}
+
+func digestOf(claim savorydeal.KeyClaim) [16]byte {
+	return [16]byte(claim.Digest[:16])
 }
 
 // Claim asks for leave to run a keyed call.
 func (r *Records) Claim(_ time.Time, claim savorydeal.KeyClaim) savorydeal.KeyDecision {
 	id := idOf(claim)
-	known := r.records[id]
-	if known == nil {
-		r.records[id] = &record{state: stateRunning, digest: claim.BodyDigest, retention: claim.Retention}
-		return savorydeal.KeyDecision{Verdict: savorydeal.KeyRun}
+	known, ok := r.records[id]
+	if !ok {
+		return r.claimUnseen(id, claim)
 	}
-	if known.digest != claim.BodyDigest {
+	if known.digest != digestOf(claim) {
 		return refuse(savorydeal.OutcomeNotRun, savorydeal.ReasonKeyConflict,
-			"the key was used with another body; use a new key for a new request")
+			"the key was used for another request; use a new key for a new request")
+	}
+	if known.caller != xxhash.Sum64String(claim.Caller) {
+		// The same caller may have changed its name, so not_run could be false.
+		return refuse(savorydeal.OutcomeUnknown, savorydeal.ReasonKeyConflict,
+			"the key was used by another caller; use keys that no other caller uses, and one caller name for all resends")
 	}
 	switch known.state {
-	case stateRunning:
+	case savorydeal.KeyRunning:
 		return savorydeal.KeyDecision{Verdict: savorydeal.KeyWait}
-	case stateFinished:
+	case savorydeal.KeyFinished:
 		return finishedDecision(known)
 	default:
 		return refuse(savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld,
@@ -79,12 +102,29 @@
 	}
 }
 
-func finishedDecision(known *record) savorydeal.KeyDecision {
-	if known.held {
-		return savorydeal.KeyDecision{Verdict: savorydeal.KeyStored, Answer: known.answer}
+func (r *Records) claimUnseen(id recordID, claim savorydeal.KeyClaim) savorydeal.KeyDecision {
+	if claim.RefuseUnseen != nil {
+		return savorydeal.KeyDecision{Verdict: savorydeal.KeyRefuse, Refusal: *claim.RefuseUnseen}
+	}
+	if len(r.records) >= r.maxRecords {
+		return refuse(savorydeal.OutcomeNotRun, savorydeal.ReasonKeyRecordsFull,
+			"this node remembers as many keys as it can; shorten key_retention_ms or send through another node")
+	}
+	r.records[id] = record{
+		digest:    digestOf(claim),
+		caller:    xxhash.Sum64String(claim.Caller),
+		state:     savorydeal.KeyRunning,
+		retention: claim.Retention,
+	}
+	return savorydeal.KeyDecision{Verdict: savorydeal.KeyRun}
+}
+
+func finishedDecision(known record) savorydeal.KeyDecision {
+	if known.answer != nil {
+		return savorydeal.KeyDecision{Verdict: savorydeal.KeyStored, Answer: *known.answer}
 	}
 	return refuse(savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld,
-		"the request of this key has run and its answer is no longer held; look the result up")
+		"the request of this key has already run and its answer is no longer held; look the result up")
 }
 
 func refuse(outcome savorydeal.Outcome, reason savorydeal.Reason, detail string) savorydeal.KeyDecision {
@@ -97,51 +137,90 @@
 // NotRun forgets a claim whose call was not run.
 func (r *Records) NotRun(_ time.Time, claim savorydeal.KeyClaim) {
 	id := idOf(claim)
-	if known := r.records[id]; known != nil && known.state == stateRunning {
+	if known, ok := r.records[id]; ok && known.state == savorydeal.KeyRunning {
 		delete(r.records, id)
 	}
 }
 
 // Finish stores the answer if it is small enough.
 func (r *Records) Finish(now time.Time, claim savorydeal.KeyClaim, answer savorydeal.StoredAnswer) {
-	known := r.end(now, claim, stateFinished)
-	if known == nil {
-		return
-	}
-	size := len(answer.Body)
-	if size > MaxStoredAnswerBytes || r.storedBytes+size > MaxStoredBytes {
-		return
+	id := idOf(claim)
+	if r.end(now, id, savorydeal.KeyFinished) {
+		r.keepAnswer(id, &answer)
 	}
-	known.answer = answer
-	known.held = true
-	r.storedBytes += size
 }
 
 // Lost marks a claim whose call may have run and whose answer is gone.
 func (r *Records) Lost(now time.Time, claim savorydeal.KeyClaim) {
-	r.end(now, claim, stateLost)
+	r.end(now, idOf(claim), savorydeal.KeyLost)
 }
 
-func (r *Records) end(now time.Time, claim savorydeal.KeyClaim, state recordState) *record {
-	known := r.records[idOf(claim)]
-	if known == nil || known.state != stateRunning {
-		return nil
+func (r *Records) end(now time.Time, id recordID, state savorydeal.KeyState) bool {
+	known, ok := r.records[id]
+	if !ok || known.state != savorydeal.KeyRunning {
+		return false
 	}
 	known.state = state
-	known.expires = now.Add(known.retention)
-	return known
+	known.expires = now.Add(known.retention + KeySkew)
+	r.records[id] = known
+	r.schedule(id, known.expires)
+	return true
+}
+
+func (r *Records) schedule(id recordID, expires time.Time) {
+	second := expires.Unix()
+	r.due[second] = append(r.due[second], id)
+}
+
+// keepAnswer drops the oldest answers when there is no room; their keys are
+// remembered on.
+func (r *Records) keepAnswer(id recordID, answer *savorydeal.StoredAnswer) {
+	size := len(answer.Body)
+	if size > MaxStoredAnswerBytes {
+		return
+	}
+	for r.storedBytes+size > MaxStoredBytes && len(r.answers) > 0 {
+		r.dropAnswer(r.answers[0])
+		r.answers = r.answers[1:]
+	}
+	known := r.records[id]
+	known.answer = answer
+	r.records[id] = known
+	r.storedBytes += size
+	r.answers = append(r.answers, id)
+}
+
+func (r *Records) dropAnswer(id recordID) {
+	known, ok := r.records[id]
+	if !ok || known.answer == nil {
+		return
+	}
+	r.storedBytes -= len(known.answer.Body)
+	known.answer = nil
+	r.records[id] = known
 }
 
 // Expire forgets what is past its retention.
 func (r *Records) Expire(now time.Time) int {
 	forgotten := 0
-	for id, known := range r.records {
-		if known.state == stateRunning || now.Before(known.expires) {
-			continue
+	until := now.Unix() - 1
+	if r.swept == 0 {
+		r.swept = until - 1
+		for second := range r.due {
+			r.swept = min(r.swept, second-1)
 		}
-		r.storedBytes -= len(known.answer.Body)
-		delete(r.records, id)
-		forgotten++
+	}
+	for second := r.swept + 1; second <= until; second++ {
+		for _, id := range r.due[second] {
+			r.dropAnswer(id)
+			delete(r.records, id)
+			forgotten++
+		}
+		delete(r.due, second)
+	}
+	r.swept = max(r.swept, until)
+	for len(r.answers) > 0 && r.records[r.answers[0]].answer == nil {
+		r.answers = r.answers[1:]
 	}
 	return forgotten
 }
@@ -150,3 +229,42 @@
 func (r *Records) Held() int {
 	return len(r.records)
 }
+
+// Export lists all records. A call that is still running is exported as lost:
+// the node that takes the records over cannot see its end.
+func (r *Records) Export(now time.Time) []savorydeal.KeyRecord {
+	exported := make([]savorydeal.KeyRecord, 0, len(r.records))
+	for id, known := range r.records {
+		record := savorydeal.KeyRecord{
+			ID:     id,
+			Digest: known.digest,
+			Caller: known.caller,
+			State:  known.state,
+			Left:   known.expires.Sub(now),
+			Answer: known.answer,
+		}
+		if known.state == savorydeal.KeyRunning {
+			record.State = savorydeal.KeyLost
+			record.Left = known.retention + KeySkew
+		}
+		exported = append(exported, record)
+	}
+	return exported
+}
+
+// Import adds the records of another node. A record this node has already
+// stays as it is.
+func (r *Records) Import(now time.Time, records []savorydeal.KeyRecord) {
+	for _, imported := range records {
+		id := recordID(imported.ID)
+		if _, ok := r.records[id]; ok {
+			continue
+		}
+		expires := now.Add(imported.Left)
+		r.records[id] = record{digest: imported.Digest, caller: imported.Caller, state: imported.State, expires: expires}
+		r.schedule(id, expires)
+		if imported.Answer != nil {
+			r.keepAnswer(id, imported.Answer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sdkeys/records_test.go
@@ -0,0 +1,152 @@
+package sdkeys_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdkeys"
+)
+
+var start = time.Date(2026, 11, 6, 15, 0, 0, 0, time.UTC)
+
+const retention = 10 * time.Minute
+
+func claimOf(key, caller, body string) savorydeal.KeyClaim {
+	claim := savorydeal.KeyClaim{Service: "limit-change", Caller: caller, Key: key, Retention: retention}
+	copy(claim.Digest[:], body)
+	return claim
+}
+
+func expectRefused(t *testing.T, decision savorydeal.KeyDecision, outcome savorydeal.Outcome, reason savorydeal.Reason) {
+	t.Helper()
+	if decision.Verdict != savorydeal.KeyRefuse || decision.Refusal.Outcome != outcome || decision.Refusal.Reason != reason {
+		t.Fatalf("got %s (%s, %s), want refuse (%s, %s)", decision.Verdict,
+			decision.Refusal.Outcome, decision.Refusal.Reason, outcome, reason)
+	}
+}
+
+// Each case leaves a record behind and claims its key again.
+func TestSecondClaim(t *testing.T) {
+	answer := savorydeal.StoredAnswer{Status: 201, Body: []byte("raised")}
+	large := savorydeal.StoredAnswer{Status: 201, Body: make([]byte, sdkeys.MaxStoredAnswerBytes+1)}
+	cases := []struct {
+		name    string
+		leave   func(r *sdkeys.Records, claim savorydeal.KeyClaim)
+		second  savorydeal.KeyClaim
+		verdict savorydeal.KeyVerdict
+		outcome savorydeal.Outcome
+		reason  savorydeal.Reason
+	}{
+		{"still running", func(*sdkeys.Records, savorydeal.KeyClaim) {}, claimOf("a", "branch-7", "x"), savorydeal.KeyWait, "", ""},
+		{"finished", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.Finish(start, c, answer) }, claimOf("a", "branch-7", "x"), savorydeal.KeyStored, "", ""},
+		{"answer not held", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.Finish(start, c, large) }, claimOf("a", "branch-7", "x"), savorydeal.KeyRefuse, savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld},
+		{"lost", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.Lost(start, c) }, claimOf("a", "branch-7", "x"), savorydeal.KeyRefuse, savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld},
+		{"not run", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.NotRun(start, c) }, claimOf("a", "branch-7", "x"), savorydeal.KeyRun, "", ""},
+		{"other body", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.Finish(start, c, answer) }, claimOf("a", "branch-7", "y"), savorydeal.KeyRefuse, savorydeal.OutcomeNotRun, savorydeal.ReasonKeyConflict},
+		{"other caller", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.Finish(start, c, answer) }, claimOf("a", "branch-8", "x"), savorydeal.KeyRefuse, savorydeal.OutcomeUnknown, savorydeal.ReasonKeyConflict},
+		{"other key", func(r *sdkeys.Records, c savorydeal.KeyClaim) { r.Finish(start, c, answer) }, claimOf("b", "branch-7", "x"), savorydeal.KeyRun, "", ""},
+		{"finished twice", func(r *sdkeys.Records, c savorydeal.KeyClaim) {
+			r.Lost(start, c)
+			r.Finish(start, c, answer)
+		}, claimOf("a", "branch-7", "x"), savorydeal.KeyRefuse, savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld},
+		{"withdrawn after its end", func(r *sdkeys.Records, c savorydeal.KeyClaim) {
+			r.Finish(start, c, answer)
+			r.NotRun(start, c)
+		}, claimOf("a", "branch-7", "x"), savorydeal.KeyStored, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			records := sdkeys.New()
+			first := claimOf("a", "branch-7", "x")
+			is.Equal(records.Claim(start, first).Verdict, savorydeal.KeyRun)
+			c.leave(records, first)
+			decision := records.Claim(start, c.second)
+			is.Equal(decision.Verdict, c.verdict)
+			is.Equal(decision.Refusal.Outcome, c.outcome)
+			is.Equal(decision.Refusal.Reason, c.reason)
+			if c.verdict == savorydeal.KeyStored {
+				is.Equal(string(decision.Answer.Body), "raised")
+			}
+		})
+	}
+}
+
+func TestRecordOutlivesItsRetentionByTheSkew(t *testing.T) {
+	is := is.New(t)
+	records := sdkeys.New()
+	claim := claimOf("a", "branch-7", "x")
+	records.Claim(start, claim)
+	records.Expire(start)
+	records.Finish(start, claim, savorydeal.StoredAnswer{Status: 200})
+	is.Equal(records.Expire(start.Add(retention+sdkeys.KeySkew)), 0)
+	is.Equal(records.Claim(start, claim).Verdict, savorydeal.KeyStored)
+	is.Equal(records.Expire(start.Add(retention+sdkeys.KeySkew+3*time.Second)), 1)
+	is.Equal(records.Held(), 0)
+}
+
+// A running call is not forgotten, however long it takes.
+func TestRunningRecordDoesNotExpire(t *testing.T) {
+	is := is.New(t)
+	records := sdkeys.New()
+	claim := claimOf("a", "branch-7", "x")
+	records.Claim(start, claim)
+	is.Equal(records.Expire(start.Add(48*time.Hour)), 0)
+	is.Equal(records.Claim(start.Add(48*time.Hour), claim).Verdict, savorydeal.KeyWait)
+}
+
+func TestHeldAnswersAreBoundedAndKeysAreNotForgotten(t *testing.T) {
+	is := is.New(t)
+	records := sdkeys.New()
+	keys := 2 * sdkeys.MaxStoredBytes / sdkeys.MaxStoredAnswerBytes
+	body := make([]byte, sdkeys.MaxStoredAnswerBytes)
+	for i := range keys {
+		claim := claimOf(fmt.Sprint(i), "branch-7", "x")
+		records.Claim(start, claim)
+		records.Finish(start, claim, savorydeal.StoredAnswer{Status: 200, Body: body})
+	}
+	is.Equal(records.Held(), keys)
+	expectRefused(t, records.Claim(start, claimOf("0", "branch-7", "x")), savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld)
+	is.Equal(records.Claim(start, claimOf(fmt.Sprint(keys-1), "branch-7", "x")).Verdict, savorydeal.KeyStored)
+}
+
+// When the memory is full, a new key is refused and an old one is not run
+// again.
+func TestFullMemoryRefusesNewKeys(t *testing.T) {
+	is := is.New(t)
+	records := sdkeys.NewBounded(2)
+	for _, key := range []string{"a", "b"} {
+		claim := claimOf(key, "branch-7", "x")
+		records.Claim(start, claim)
+		records.Lost(start, claim)
+	}
+	expectRefused(t, records.Claim(start, claimOf("c", "branch-7", "x")), savorydeal.OutcomeNotRun, savorydeal.ReasonKeyRecordsFull)
+	expectRefused(t, records.Claim(start, claimOf("a", "branch-7", "x")), savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld)
+	is.Equal(records.Held(), 2)
+}
+
+func TestImportedRecordsDecideAsBefore(t *testing.T) {
+	is := is.New(t)
+	records := sdkeys.New()
+	for _, key := range []string{"finished", "lost", "running"} {
+		records.Claim(start, claimOf(key, "branch-7", "x"))
+	}
+	records.Finish(start, claimOf("finished", "branch-7", "x"), savorydeal.StoredAnswer{Status: 201, Body: []byte("raised")})
+	records.Lost(start, claimOf("lost", "branch-7", "x"))
+	taken := sdkeys.New()
+	// The clock of the other node is an hour ahead.
+	later := start.Add(time.Hour)
+	taken.Import(later, records.Export(start))
+	is.Equal(taken.Held(), 3)
+	is.Equal(taken.Claim(later, claimOf("finished", "branch-7", "x")).Verdict, savorydeal.KeyStored)
+	expectRefused(t, taken.Claim(later, claimOf("lost", "branch-7", "x")), savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld)
+	expectRefused(t, taken.Claim(later, claimOf("running", "branch-7", "x")), savorydeal.OutcomeUnknown, savorydeal.ReasonAnswerNotHeld)
+	taken.Expire(later.Add(retention))
+	is.Equal(taken.Held(), 3)
+	taken.Expire(later.Add(retention + sdkeys.KeySkew + 3*time.Second))
+	is.Equal(taken.Held(), 0)
+}
--- /dev/null
+++ b/internal/sdnode/keyed.go
@@ -0,0 +1,68 @@
+package sdnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdcarrier"
+	"github.com/savorydeal/savorydeal/internal/sdkeyed"
+	"github.com/savorydeal/savorydeal/internal/sdkeys"
+	"github.com/savorydeal/savorydeal/internal/sdlink"
+)
+
+// renewPoll is how often this node looks for rights on keys to renew.
+const renewPoll = 15 * time.Second
+
+// wireKeyed builds the path of keyed calls. The platform is set by Run.
+func (n *Node) wireKeyed(unkeyed savorydeal.Carrier) {
+	self := sdkeys.Incarnation{Node: n.self, Generation: n.generation}
+	n.owner = sdkeyed.NewOwner(n.clock, self, sdkeys.New(), unkeyed)
+	n.parts = &sdkeyed.Parts{
+		Owner:   n.owner,
+		Address: n.settings.PeerAddress,
+		Members: n.Members,
+		HeldAt:  n.carrierOf(sdkeyed.KindHeld),
+	}
+	n.router = &sdkeyed.Router{
+		Self:    n.self,
+		Members: n.Members,
+		Owner:   n.owner,
+		Parts:   n.parts,
+		Unkeyed: unkeyed,
+		PartsAt: n.carrierOf(sdlink.KindKeyed),
+		HeldAt:  n.carrierOf(sdkeyed.KindHeld),
+		Unknown: func(savorydeal.Call, savorydeal.Refusal) {},
+	}
+	parts := &sdcarrier.Server{Carrier: n.parts, Log: n.log.Named("keyed")}
+	held := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("held")}
+	n.links.Handle(sdlink.KindKeyed, parts.Serve)
+	n.links.Handle(sdkeyed.KindHeld, held.Serve)
+	n.links.Handle(kindHandover, n.serveHandover)
+}
+
+func (n *Node) carrierOf(kind sdlink.Kind) func(address string) savorydeal.Carrier {
+	return func(address string) savorydeal.Carrier {
+		return &sdcarrier.Client{Links: n.links, Address: address, Kind: kind}
+	}
+}
+
+// setKeyPlatform comes before the node serves.
+func (n *Node) setKeyPlatform(platform savorydeal.Platform) {
+	n.parts.Platform = platform
+	n.router.Platform = platform
+}
+
+// runRenewals keeps this node's rights on keys.
+func (n *Node) runRenewals(ctx context.Context) error {
+	for {
+		select {
+		case <-n.clock.After(renewPoll):
+		case <-ctx.Done():
+			return nil
+		}
+		if err := n.parts.Renew(ctx); err != nil && ctx.Err() == nil {
+			n.log.Warn("rights on keys not renewed", "error", err)
+		}
+	}
+}
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -24,7 +24,6 @@
 	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
-	"github.com/savorydeal/savorydeal/internal/sdkeys"
 	"github.com/savorydeal/savorydeal/internal/sdlimit"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
@@ -66,6 +65,7 @@
 	server    *sdserve.Server
 	chains    *sdchain.Table
 	owner     *sdkeyed.Owner
+	parts     *sdkeyed.Parts
 	router    *sdkeyed.Router
 	metrics   *sdmetrics.Metrics
 	ids       *identifiers
@@ -134,18 +134,9 @@
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
 	}
-	n.owner = sdkeyed.NewOwner(n.clock, sdkeys.New(), relay)
-	n.router = &sdkeyed.Router{
-		Self:    n.self,
-		Members: n.Members,
-		Owner:   n.owner,
-		Unkeyed: relay,
-		OwnerAt: n.ownerAt,
-	}
+	n.wireKeyed(relay)
 	calls := &sdcarrier.Server{Carrier: n.server, Log: n.log.Named("call")}
-	keyed := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("keyed")}
 	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
@@ -157,10 +148,6 @@
 	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall}
 }
 
-func (n *Node) ownerAt(member savorydeal.Member) savorydeal.Carrier {
-	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed}
-}
-
 func (n *Node) retryRatio(service string) float64 {
 	record, ok := n.Policies().Policy(service)
 	if !ok {
@@ -180,6 +167,7 @@
 		Next:         n.router,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
+		KeyPrefix:    n.owner.Prefix,
 	}
 }
 
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return err
 	}
+	n.setKeyPlatform(platform)
 	operators, err := sdoperator.NewHandler(n, platform, n.clock)
 	if err != nil {
 		return fmt.Errorf("operators' handler: %w", err)
@@ -91,6 +92,7 @@
 	var group run.Group
 	group.Add(func() error { return n.runControl(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.runWatch(background, platform, sdrecord.KindPolicy) }, func(error) { cancel() })
+	group.Add(func() error { return n.runRenewals(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
 	addServer(&group, servers.caller, l.caller)
 	addServer(&group, servers.onward, l.onward)
@@ -150,6 +152,9 @@
 	if err := n.drainTarget(drain); err != nil {
 		return err
 	}
+	if err := n.HandKeysOver(drain); err != nil {
+		n.log.Warn("keys not handed over; their resends are answered unknown", "error", err)
+	}
 	if err := servers.onward.Shutdown(drain); err != nil {
 		return fmt.Errorf("finish onward calls: %w", err)
 	}
--- a/internal/sdrelay/relay.go
+++ b/internal/sdrelay/relay.go
@@ -63,6 +63,9 @@
 		budget:   sdchain.NewBudget(call.Chain.RetriesGranted),
 		deadline: r.Clock.Now().Add(call.Timeout),
 	}
+	if !call.Fence.IsZero() && call.Fence.Before(j.deadline) {
+		j.deadline = call.Fence
+	}
 	r.Retries.FirstTry(r.Clock.Now(), call.Service, r.RetryRatio(call.Service))
 	return j.run(ctx)
 }
--- a/outcome.go
+++ b/outcome.go
@@ -28,6 +28,8 @@
 	ReasonKeyConflict     Reason = "key_conflict"
 	ReasonKeyExpired      Reason = "key_expired"
 	ReasonKeyOwnerUnknown Reason = "key_owner_unknown"
+	ReasonKeyRecordsFull  Reason = "key_records_full"
+	ReasonKeyRecordLost   Reason = "key_record_lost"
 	ReasonAnswerNotHeld   Reason = "answer_not_held"
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonNoTarget        Reason = "no_target"
