Entry: key prefix on every answer; a body with a key is always digested

Cause: callers need a prefix before their first keyed call, and a policy may turn an operation non-idempotent between two tries of a key. Ruled out: a prefix only on answers of the service, since the first call would have none.

--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -41,6 +41,9 @@
 	// NewRequestID returns an identifier that is never used twice.
 	NewRequestID func() string
 	Observe      func(Observation)
+	// KeyPrefix returns a prefix for keys that this node decides on; "" offers
+	// none.
+	KeyPrefix func() string
 }
 
 // Observation is one request as the entry saw it end.
@@ -58,6 +61,9 @@
 // ServeHTTP answers one request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := e.Clock.Now()
+	if e.offerKeyPrefix(w, r) {
+		return
+	}
 	call, parent, refusal := e.accept(r)
 	if refusal == nil {
 		refusal = e.carry(w, r, call, parent)
@@ -77,6 +83,31 @@
 	})
 }
 
+// keyPrefixPath answers a GET with a key prefix and nothing else.
+const keyPrefixPath = "/.well-known/savorydeal/key_prefix"
+
+// offerKeyPrefix puts a key prefix into the header of every answer. It reports
+// whether that is all the caller asked for.
+func (e *Entry) offerKeyPrefix(w http.ResponseWriter, r *http.Request) bool {
+	if e.KeyPrefix == nil {
+		return false
+	}
+	prefix := e.KeyPrefix()
+	if prefix != "" {
+		w.Header().Set(sdheader.KeyPrefix, prefix)
+	}
+	if r.Method != http.MethodGet || r.URL.Path != keyPrefixPath {
+		return false
+	}
+	if prefix == "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, prefix)
+	return true
+}
+
 // accept builds the call of a request. parent is the run that the request
 // belongs to, nil for the first call of a chain.
 func (e *Entry) accept(r *http.Request) (savorydeal.Call, *sdchain.Run, *savorydeal.Refusal) {
--- a/internal/sdentry/request.go
+++ b/internal/sdentry/request.go
@@ -121,7 +121,7 @@
 // whole, since the record of its key holds the body's digest.
 func readBody(w http.ResponseWriter, r *http.Request, call *savorydeal.Call) (io.ReadCloser, *savorydeal.Refusal) {
 	limited := http.MaxBytesReader(w, r.Body, call.Operation.MaxBodyBytes)
-	if call.Operation.Idempotent || call.Key == "" {
+	if call.Key == "" {
 		return limited, nil
 	}
 	whole, err := sdbody.ReadWhole(limited, call.Operation.MaxBodyBytes)
--- a/internal/sdheader/header.go
+++ b/internal/sdheader/header.go
@@ -21,6 +21,7 @@
 	Service    = "Savorydeal-Service"
 	Caller     = "Savorydeal-Caller"
 	Key        = "Idempotency-Key"
+	KeyPrefix  = "Savorydeal-Key-Prefix"
 	RetryAfter = "Retry-After"
 
 	prefix = "Savorydeal-"
