--- a/internal/sdkeyed/once_test.go
+++ b/internal/sdkeyed/once_test.go
@@ -37,15 +37,19 @@
 	}{
 		{"same node", func(*fleet, string) {}, "a", answered, nil},
 		{"another node", func(*fleet, string) {}, "b", answered, nil},
-		{"owner beyond a cut", func(f *fleet, _ string) { f.sever("a", "b") }, "b", wrongOwner,
-			func(f *fleet) bool { return f.severedHits > 0 }},
+		{
+			"owner beyond a cut", func(f *fleet, _ string) { f.sever("a", "b") }, "b", wrongOwner,
+			func(f *fleet) bool { return f.severedHits > 0 },
+		},
 		{"owner beyond a cut that heals", func(f *fleet, key string) {
 			f.sever("a", "b")
 			f.expectSend("b", key, wrongOwner)
 			clear(f.severed)
 		}, "b", answered, func(f *fleet) bool { return f.severedHits > 0 }},
-		{"owner dead", func(f *fleet, _ string) { f.nodes["a"].stop = true }, "b", wrongOwner,
-			func(f *fleet) bool { return f.severedHits > 0 }},
+		{
+			"owner dead", func(f *fleet, _ string) { f.nodes["a"].stop = true }, "b", wrongOwner,
+			func(f *fleet) bool { return f.severedHits > 0 },
+		},
 		{"owner reborn without its records", func(f *fleet, _ string) {
 			f.clock.Advance(time.Second)
 			f.start("a", []string{"a", "b", "c"})
@@ -59,8 +63,10 @@
 			f.platform.down = true
 			f.clock.Advance(platformDown / 10)
 		}, "b", answered, nil},
-		{"record dropped for age", func(f *fleet, _ string) { f.clock.Advance(retention + sdkeys.KeySkew + time.Minute) }, "b",
-			"unknown key_expired", func(f *fleet) bool { f.nodes["a"].owner.Prefix(); return f.nodes["a"].owner.Held() == 0 }},
+		{
+			"record dropped for age", func(f *fleet, _ string) { f.clock.Advance(retention + sdkeys.KeySkew + time.Minute) }, "b",
+			"unknown key_expired", func(f *fleet) bool { f.nodes["a"].owner.Prefix(); return f.nodes["a"].owner.Held() == 0 },
+		},
 		{"planned stop", func(f *fleet, _ string) {
 			is.New(f.t).NoErr(f.handOver("a", "c"))
 			f.nodes["a"].stop = true
@@ -371,3 +377,36 @@
 	}
 	is.New(t).Equal(granted, []int{4, 2, 0, 0})
 }
+
+// A key that is used for another request is refused through any node, and its
+// stored answer is not given out.
+func TestKeyUsedForAnotherRequest(t *testing.T) {
+	otherPath := callOf("", "x")
+	otherPath.Path = "/limits/8"
+	otherMethod := callOf("", "x")
+	otherMethod.Method = "DELETE"
+	otherCaller := callOf("", "x")
+	otherCaller.Chain.Caller = "branch-8"
+	for _, c := range []struct {
+		name string
+		call savorydeal.Call
+		want string
+	}{
+		{"other body", callOf("", "y"), "not_run key_conflict"},
+		{"other path", otherPath, "not_run key_conflict"},
+		{"other method", otherMethod, "not_run key_conflict"},
+		{"other caller", otherCaller, "unknown key_conflict"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, "a", "b")
+			for _, key := range []string{f.nodes["a"].owner.Prefix() + "41", plain} {
+				f.expectSend("a", key, answered)
+				c.call.Key = key
+				if got := f.sendCall("b", c.call); got != c.want {
+					t.Fatalf("%s: %s", key, got)
+				}
+				f.expectRuns(key, 1)
+			}
+		})
+	}
+}
--- a/internal/sdkeyed/owner.go
+++ b/internal/sdkeyed/owner.go
@@ -14,6 +14,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbody"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 	"github.com/savorydeal/savorydeal/internal/sdkeys"
 	"github.com/savorydeal/savorydeal/internal/sdretry"
 )
@@ -189,6 +190,7 @@
 	result.decision = o.records.Claim(now, result.claim)
 	id := waiterID{service: call.Service, key: call.Key}
 	if result.decision.Verdict == savorydeal.KeyRun {
+		sdinvariant.AtMostOnce.Check(o.waiters[id] == nil, func() string { return "key " + call.Key + " runs while its first run is going" })
 		o.waiters[id] = make(chan struct{})
 		o.running++
 		result.retries = o.resends.Begin(now, resendKey(call), call.Chain.RetriesGranted)
@@ -221,7 +223,7 @@
 	settled := false
 	defer func() {
 		if !settled {
-			o.end(claimed, call, func(now time.Time) { o.records.Lost(now, claimed.claim) })
+			o.end(call, func(now time.Time) { o.records.Lost(now, claimed.claim) })
 		}
 	}()
 	answer, err = o.next.Carry(ctx, call, body)
@@ -241,10 +243,11 @@
 	}
 	settled = true
 	kept := savorydeal.StoredAnswer{Status: answer.Status, Headers: answer.Headers, Body: whole}
-	o.end(claimed, call, func(now time.Time) {
+	o.end(call, func(now time.Time) {
 		o.resends.Done(resendKey(call))
 		o.records.Finish(now, claimed.claim, kept)
 	})
+	answer.ContentLength = int64(len(whole))
 	answer.Body = io.NopCloser(bytes.NewReader(whole))
 	return answer, nil
 }
@@ -256,7 +259,7 @@
 		refusal = &savorydeal.Refusal{Outcome: savorydeal.OutcomeUnknown, Reason: savorydeal.ReasonTargetFailed, Detail: err.Error()}
 	}
 	if refusal.Outcome == savorydeal.OutcomeNotRun {
-		o.end(claimed, call, func(now time.Time) {
+		o.end(call, func(now time.Time) {
 			spent := 0
 			if refusal.End != nil {
 				spent = refusal.End.RetriesSpent
@@ -266,7 +269,7 @@
 		})
 		return refusal
 	}
-	o.end(claimed, call, func(now time.Time) {
+	o.end(call, func(now time.Time) {
 		o.resends.Done(resendKey(call))
 		o.records.Lost(now, claimed.claim)
 	})
@@ -274,7 +277,7 @@
 	return refusal
 }
 
-func (o *Owner) end(claimed claimed, call savorydeal.Call, record func(now time.Time)) {
+func (o *Owner) end(call savorydeal.Call, record func(now time.Time)) {
 	id := waiterID{service: call.Service, key: call.Key}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -286,9 +289,10 @@
 
 func stored(answer savorydeal.StoredAnswer) savorydeal.Answer {
 	return savorydeal.Answer{
-		Status:  answer.Status,
-		Headers: answer.Headers,
-		Body:    io.NopCloser(bytes.NewReader(answer.Body)),
-		End:     &savorydeal.AnswerEnd{BodyBytes: int64(len(answer.Body))},
+		Status:        answer.Status,
+		Headers:       answer.Headers,
+		ContentLength: int64(len(answer.Body)),
+		Body:          io.NopCloser(bytes.NewReader(answer.Body)),
+		End:           &savorydeal.AnswerEnd{BodyBytes: int64(len(answer.Body))},
 	}
 }
--- a/internal/sdkeyed/parts.go
+++ b/internal/sdkeyed/parts.go
@@ -78,6 +78,8 @@
 	}
 	id := partID{service: call.Service, part: sdkeys.PartOf(call.Service, call.Key)}
 	part := p.part(id)
+	// A try id names one sending to one node.
+	call.TryID = ""
 	for {
 		owner, err := p.resolve(ctx, id, part, call)
 		if err != nil {
@@ -86,7 +88,7 @@
 		if owner.Incarnation == p.Owner.self {
 			return p.Owner.Carry(ctx, call, open(whole))
 		}
-		answer, err := p.HeldAt(owner.Address).Carry(ctx, call, open(whole))
+		answer, err := p.carryTo(ctx, owner, call, whole)
 		if !notReached(err) {
 			part.reached()
 			return answer, err
@@ -98,6 +100,15 @@
 	}
 }
 
+// carryTo sends the call to the owner. An earlier process at this node's own
+// address is gone for certain.
+func (p *Parts) carryTo(ctx context.Context, owner sdkeys.PartOwner, call savorydeal.Call, whole []byte) (savorydeal.Answer, error) {
+	if owner.Node == p.Owner.self.Node {
+		return savorydeal.Answer{}, notDecidedHere()
+	}
+	return p.HeldAt(owner.Address).Carry(ctx, call, open(whole))
+}
+
 func unresolved(err error) *savorydeal.Refusal {
 	detail := "the node that decides on the key is out of reach; send the same key again"
 	if err != nil {
@@ -228,6 +239,9 @@
 // provedDead reports whether a newer process serves the owner's address, which
 // an older one must have left.
 func (p *Parts) provedDead(owner sdkeys.PartOwner) bool {
+	if owner.Node == p.Owner.self.Node {
+		return owner.Generation < p.Owner.self.Generation
+	}
 	for _, member := range p.Members() {
 		if member.Node == owner.Node {
 			return member.Generation > owner.Generation
--- a/internal/sdnode/keyed.go
+++ b/internal/sdnode/keyed.go
@@ -15,7 +15,7 @@
 const renewPoll = 15 * time.Second
 
 // wireKeyed builds the path of keyed calls. The platform is set by Run.
-func (n *Node) wireKeyed(unkeyed savorydeal.Carrier) {
+func (n *Node) wireKeyed(unkeyed savorydeal.Carrier, tries *sdcarrier.Tries) {
 	self := sdkeys.Incarnation{Node: n.self, Generation: n.generation}
 	n.owner = sdkeyed.NewOwner(n.clock, self, sdkeys.New(), unkeyed)
 	n.parts = &sdkeyed.Parts{
@@ -34,8 +34,8 @@
 		HeldAt:  n.carrierOf(sdkeyed.KindHeld),
 		Unknown: func(savorydeal.Call, savorydeal.Refusal) {},
 	}
-	parts := &sdcarrier.Server{Carrier: n.parts, Log: n.log.Named("keyed")}
-	held := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("held")}
+	parts := &sdcarrier.Server{Carrier: n.parts, Clock: n.clock, Tries: tries, Log: n.log.Named("keyed")}
+	held := &sdcarrier.Server{Carrier: n.owner, Clock: n.clock, Tries: tries, Log: n.log.Named("held")}
 	n.links.Handle(sdlink.KindKeyed, parts.Serve)
 	n.links.Handle(sdkeyed.KindHeld, held.Serve)
 	n.links.Handle(kindHandover, n.serveHandover)
@@ -43,7 +43,7 @@
 
 func (n *Node) carrierOf(kind sdlink.Kind) func(address string) savorydeal.Carrier {
 	return func(address string) savorydeal.Carrier {
-		return &sdcarrier.Client{Links: n.links, Address: address, Kind: kind}
+		return &sdcarrier.Client{Links: n.links, Address: address, Kind: kind, NewTryID: n.ids.next}
 	}
 }
 
