--- a/call.go
+++ b/call.go
@@ -55,6 +55,9 @@
 	// Fence is the moment on this node's clock at which the right to run the
 	// call ends; zero means that it does not end. It does not leave the node.
 	Fence time.Time
+	// Resend is true if the call is known to repeat an earlier one of its
+	// caller: it earns the service no retry. It does not leave the node.
+	Resend bool
 }
 
 // LoadSignal is what a target's node says about the target's load on every
--- a/internal/sdkeyed/owner.go
+++ b/internal/sdkeyed/owner.go
@@ -161,6 +161,7 @@
 	fence time.Time
 	// retries is what is left of the request's retries over its resends.
 	retries int
+	resend  bool
 }
 
 // claim decides under one lock whether this process may decide on the key, and
@@ -193,7 +194,7 @@
 		sdinvariant.AtMostOnce.Check(o.waiters[id] == nil, func() string { return "key " + call.Key + " runs while its first run is going" })
 		o.waiters[id] = make(chan struct{})
 		o.running++
-		result.retries = o.resends.Begin(now, resendKey(call), call.Chain.RetriesGranted)
+		result.retries, result.resend = o.resends.Begin(now, resendKey(call), call.Chain.RetriesGranted)
 	}
 	result.ended = o.waiters[id]
 	return result
@@ -219,6 +220,7 @@
 	defer cancel()
 	call.Fence = claimed.fence
 	call.Chain.RetriesGranted = claimed.retries
+	call.Resend = claimed.resend
 	// A key whose end is not recorded would make every resend wait for ever.
 	settled := false
 	defer func() {
--- a/internal/sdrelay/relay.go
+++ b/internal/sdrelay/relay.go
@@ -73,7 +73,9 @@
 	if !call.Fence.IsZero() && call.Fence.Before(j.deadline) {
 		j.deadline = call.Fence
 	}
-	r.Retries.FirstTry(r.Clock.Now(), call.Service, r.RetryRatio(call.Service))
+	if !call.Resend {
+		r.Retries.FirstTry(r.Clock.Now(), call.Service, r.RetryRatio(call.Service))
+	}
 	return j.run(ctx)
 }
 
--- a/internal/sdretry/resends.go
+++ b/internal/sdretry/resends.go
@@ -28,14 +28,14 @@
 	return &Resends{requests: make(map[string]resend)}
 }
 
-// Begin returns the retries that a try of the request may spend. granted is
-// what the policy grants a request.
-func (r *Resends) Begin(now time.Time, request string, granted int) int {
+// Begin returns the retries that a try of the request may spend, and whether
+// it repeats an earlier one. granted is what the policy grants a request.
+func (r *Resends) Begin(now time.Time, request string, granted int) (left int, resend bool) {
 	known, ok := r.requests[request]
 	if !ok || !now.Before(known.until) {
-		return granted
+		return granted, false
 	}
-	return min(granted, max(0, known.left-1))
+	return min(granted, max(0, known.left-1)), true
 }
 
 // NotRun notes a try that was refused as not run: what it was granted and what
