Control events that run after their asker has left write nothing that is read

Cause: do returns when its context ends, and the event may run later and write a variable that the asker reads; the race detector saw it in takeMembers while targets crashed. Ruled out: waiting for the event, since the asker's time is over. Before: data race in sdrig under -race. After: none in the same tests.

--- a/internal/sdnode/exchange.go
+++ b/internal/sdnode/exchange.go
@@ -114,7 +114,7 @@
 
 func (n *Node) takeMembers(ctx context.Context, members *sdpeerpb.Members) []*sdpeerpb.ControlMessage {
 	var replies []*sdpeerpb.ControlMessage
-	_ = n.do(ctx, func(c *control) {
+	err := n.do(ctx, func(c *control) {
 		now := n.clock.Now()
 		decoded := make([]savorydeal.Member, 0, len(members.GetMembers()))
 		for _, member := range members.GetMembers() {
@@ -128,6 +128,10 @@
 			replies = append(replies, policiesMessage(c.store.Objects()))
 		}
 	})
+	if err != nil {
+		// The event may still run and write its replies.
+		return nil
+	}
 	return replies
 }
 
@@ -152,13 +156,16 @@
 
 func (n *Node) configReply(ctx context.Context, query *sdpeerpb.ConfigQuery) *sdpeerpb.ControlMessage {
 	reply := &sdpeerpb.ConfigReply{}
-	_ = n.do(ctx, func(c *control) {
+	err := n.do(ctx, func(c *control) {
 		entry, ok := c.store.Entry(query.GetService())
 		if ok {
 			reply.Version = entry.InForce.Version
 			reply.Rejected = entry.Rejected != ""
 		}
 	})
+	if err != nil {
+		reply = &sdpeerpb.ConfigReply{}
+	}
 	return &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_ConfigReply{ConfigReply: reply}}
 }
 
