--- a/call.go
+++ b/call.go
@@ -52,6 +52,9 @@
 	PolicyVersion int64
 	// KeyRetention is how long the key is remembered after the call finished.
 	KeyRetention time.Duration
+	// Fingerprint names requests that are the same but for their key. See
+	// sdpoison; zero until a relay has set it.
+	Fingerprint uint64
 	// Fence is the moment on this node's clock at which the right to run the
 	// call ends; zero means that it does not end. It does not leave the node.
 	Fence time.Time
--- a/internal/sdbody/body.go
+++ b/internal/sdbody/body.go
@@ -57,6 +57,12 @@
 	return int64(len(b.whole)), b.complete
 }
 
+// Start returns the beginning of the body, up to ReplayBytes. It must not be
+// changed.
+func (b *Body) Start() []byte {
+	return b.whole[:min(len(b.whole), ReplayBytes)]
+}
+
 // CanReopen reports whether Open will succeed again.
 func (b *Body) CanReopen() bool {
 	return b.complete || !b.opened
--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -38,6 +38,9 @@
 	changeID string
 	wait     time.Duration
 	version  int64
+	// key limits a list to one key.
+	key         string
+	fingerprint string
 }
 
 // command is one subcommand: its place on the command line and what it does.
@@ -109,6 +112,7 @@
 	policy.Description = "put, get, list, delete, history, wait"
 	parser.AttachSubcommand(policy, 1)
 	commands := policyCommands(o, policy)
+	commands = append(commands, truthCommands(o, parser)...)
 	for _, plain := range []struct {
 		name, help string
 		run        func(context.Context, *client) error
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -100,7 +100,7 @@
 	members := []memberDump{}
 	policies := []policyDump{}
 	var target targetDump
-	_ = n.do(ctx, func(c *control) {
+	err := n.do(ctx, func(c *control) {
 		for _, member := range c.roster.Members() {
 			members = append(members, dumpMember(member))
 		}
@@ -116,12 +116,19 @@
 		announcement := c.lease.Announcement()
 		target = targetDump{State: string(c.lease.State(n.clock.Now())), Service: announcement.Service, Address: announcement.Address}
 	})
+	if err != nil {
+		// The event may still run and write what it was to return.
+		return []sdoperator.Section{section("error", err.Error())}
+	}
 	signal := n.admitter.Signal()
 	target.Running, target.Queued, target.Limit = signal.Running, signal.Queued, signal.Limit
 	return []sdoperator.Section{
 		section("members", members),
 		section("policies", policies),
 		section("target", target),
+		section("keys", n.dumpKeys()),
+		section("poison", dumpPoison(n.Poison())),
+		section("unknown_outcomes", n.dumpUnknown()),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
 	}
 }
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -28,6 +28,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
@@ -35,6 +36,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // firstSlots bounds the calls on a target until it has announced its slots; no
@@ -66,9 +68,13 @@
 	chains    *sdchain.Table
 	owner     *sdkeyed.Owner
 	parts     *sdkeyed.Parts
-	router    *sdkeyed.Router
-	metrics   *sdmetrics.Metrics
-	ids       *identifiers
+	poison    *sdpoison.Table
+	unknown   *sdunknown.Queue
+	// unknownRandom spreads the writes of unknown outcomes.
+	unknownRandom *rand.Rand
+	router        *sdkeyed.Router
+	metrics       *sdmetrics.Metrics
+	ids           *identifiers
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -96,6 +102,9 @@
 		lease:  sdannounce.NewLease(),
 	}
 	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.poison = sdpoison.New()
+	n.unknown = &sdunknown.Queue{}
+	n.unknownRandom = n.newRandom()
 	n.wireTraffic()
 	n.registerGauges()
 	return n
@@ -133,10 +142,13 @@
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
+		Poison:     n.poison,
 	}
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
 	n.wireKeyed(relay, tries)
+	n.wirePoison()
+	n.wireUnknown()
 	n.links.Handle(sdlink.KindCall, calls.Serve)
 	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
 	n.links.Handle(sdlink.KindControl, n.serveControl)
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -93,6 +93,8 @@
 	group.Add(func() error { return n.runControl(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.runWatch(background, platform, sdrecord.KindPolicy) }, func(error) { cancel() })
 	group.Add(func() error { return n.runRenewals(background) }, func(error) { cancel() })
+	group.Add(func() error { return n.runPoisonExpiry(background) }, func(error) { cancel() })
+	group.Add(func() error { return n.runUnknown(background, platform) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
 	addServer(&group, servers.caller, l.caller)
 	addServer(&group, servers.onward, l.onward)
--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -11,8 +11,10 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // Status is what a node says of itself.
@@ -48,6 +50,13 @@
 	// InForce asks which nodes run at least the version.
 	InForce(ctx context.Context, service string, version int64) InForce
 	Dump(ctx context.Context) []Section
+	// UnknownOutcomes lists the outcomes of a service; an error means that
+	// some may lack.
+	UnknownOutcomes(ctx context.Context, service, key string) ([]sdunknown.Outcome, error)
+	Poison() []sdpoison.Entry
+	// ReleasePoison lets a request run again and returns how many nodes have
+	// been told, and which could not be.
+	ReleasePoison(ctx context.Context, fingerprint sdpoison.Fingerprint) (int, []savorydeal.NodeID)
 }
 
 // Server implements the operators' schema.
--- a/internal/sdoperatorapi/oas_cfg_gen.go
+++ b/internal/sdoperatorapi/oas_cfg_gen.go
@@ -13,6 +13,7 @@
 )
 
 var regexMap = map[string]ogenregex.Regexp{
+	"^[0-9a-f]{16}$":             ogenregex.MustCompile("^[0-9a-f]{16}$"),
 	"^[a-z0-9][a-z0-9.-]{0,62}$": ogenregex.MustCompile("^[a-z0-9][a-z0-9.-]{0,62}$"),
 }
 
--- a/internal/sdoperatorapi/oas_client_gen.go
+++ b/internal/sdoperatorapi/oas_client_gen.go
@@ -48,14 +48,32 @@
 	//
 	// GET /v1/nodes
 	ListNodes(ctx context.Context) (*NodeList, error)
+	// ListPoison invokes listPoison operation.
+	//
+	// The requests that have crashed targets, as this node knows them.
+	//
+	// GET /v1/poison
+	ListPoison(ctx context.Context) (*PoisonList, error)
 	// ListPolicies invokes listPolicies operation.
 	//
 	// GET /v1/policies
 	ListPolicies(ctx context.Context) (*PolicyList, error)
+	// ListUnknownOutcomes invokes listUnknownOutcomes operation.
+	//
+	// The keyed calls of the last day that may have run and have no answer, the newest first.
+	//
+	// GET /v1/unknown_outcomes/{service}
+	ListUnknownOutcomes(ctx context.Context, params ListUnknownOutcomesParams) (*UnknownOutcomeList, error)
 	// PutPolicy invokes putPolicy operation.
 	//
 	// PUT /v1/policies/{service}
 	PutPolicy(ctx context.Context, request *PolicyChange, params PutPolicyParams) (*PolicyRecord, error)
+	// ReleasePoison invokes releasePoison operation.
+	//
+	// Lets a request run again at every node that can be reached.
+	//
+	// POST /v1/poison/{fingerprint}/release
+	ReleasePoison(ctx context.Context, params ReleasePoisonParams) (*PoisonRelease, error)
 	// WaitInForce invokes waitInForce operation.
 	//
 	// Waits until every node that can be reached runs at least this version, or the wait ends.
@@ -438,6 +456,49 @@
 	return result, nil
 }
 
+// ListPoison invokes listPoison operation.
+//
+// The requests that have crashed targets, as this node knows them.
+//
+// GET /v1/poison
+func (c *Client) ListPoison(ctx context.Context) (*PoisonList, error) {
+	res, err := c.sendListPoison(ctx)
+	return res, err
+}
+
+func (c *Client) sendListPoison(ctx context.Context) (res *PoisonList, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/poison"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListPoisonResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListPolicies invokes listPolicies operation.
 //
 // GET /v1/policies
@@ -479,6 +540,87 @@
 	return result, nil
 }
 
+// ListUnknownOutcomes invokes listUnknownOutcomes operation.
+//
+// The keyed calls of the last day that may have run and have no answer, the newest first.
+//
+// GET /v1/unknown_outcomes/{service}
+func (c *Client) ListUnknownOutcomes(ctx context.Context, params ListUnknownOutcomesParams) (*UnknownOutcomeList, error) {
+	res, err := c.sendListUnknownOutcomes(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendListUnknownOutcomes(ctx context.Context, params ListUnknownOutcomesParams) (res *UnknownOutcomeList, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/v1/unknown_outcomes/"
+	{
+		// Encode "service" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "service",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Service))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "key" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "key",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Key.Get(); ok {
+				return e.EncodeValue(conv.StringToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListUnknownOutcomesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // PutPolicy invokes putPolicy operation.
 //
 // PUT /v1/policies/{service}
@@ -550,6 +692,68 @@
 	return result, nil
 }
 
+// ReleasePoison invokes releasePoison operation.
+//
+// Lets a request run again at every node that can be reached.
+//
+// POST /v1/poison/{fingerprint}/release
+func (c *Client) ReleasePoison(ctx context.Context, params ReleasePoisonParams) (*PoisonRelease, error) {
+	res, err := c.sendReleasePoison(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendReleasePoison(ctx context.Context, params ReleasePoisonParams) (res *PoisonRelease, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/poison/"
+	{
+		// Encode "fingerprint" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "fingerprint",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Fingerprint))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/release"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeReleasePoisonResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // WaitInForce invokes waitInForce operation.
 //
 // Waits until every node that can be reached runs at least this version, or the wait ends.
--- a/internal/sdoperatorapi/oas_handlers_gen.go
+++ b/internal/sdoperatorapi/oas_handlers_gen.go
@@ -540,6 +540,82 @@
 	}
 }
 
+// handleListPoisonRequest handles listPoison operation.
+//
+// The requests that have crashed targets, as this node knows them.
+//
+// GET /v1/poison
+func (s *Server) handleListPoisonRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *PoisonList
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListPoisonOperation,
+			OperationSummary: "",
+			OperationID:      "listPoison",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *PoisonList
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListPoison(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListPoison(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListPoisonResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListPoliciesRequest handles listPolicies operation.
 //
 // GET /v1/policies
@@ -614,6 +690,105 @@
 	}
 }
 
+// handleListUnknownOutcomesRequest handles listUnknownOutcomes operation.
+//
+// The keyed calls of the last day that may have run and have no answer, the newest first.
+//
+// GET /v1/unknown_outcomes/{service}
+func (s *Server) handleListUnknownOutcomesRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ListUnknownOutcomesOperation,
+			ID:   "listUnknownOutcomes",
+		}
+	)
+	params, err := decodeListUnknownOutcomesParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *UnknownOutcomeList
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListUnknownOutcomesOperation,
+			OperationSummary: "",
+			OperationID:      "listUnknownOutcomes",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "key",
+					In:   "query",
+				}: params.Key,
+				{
+					Name: "service",
+					In:   "path",
+				}: params.Service,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ListUnknownOutcomesParams
+			Response = *UnknownOutcomeList
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackListUnknownOutcomesParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListUnknownOutcomes(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListUnknownOutcomes(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListUnknownOutcomesResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handlePutPolicyRequest handles putPolicy operation.
 //
 // PUT /v1/policies/{service}
@@ -722,6 +897,101 @@
 	}
 }
 
+// handleReleasePoisonRequest handles releasePoison operation.
+//
+// Lets a request run again at every node that can be reached.
+//
+// POST /v1/poison/{fingerprint}/release
+func (s *Server) handleReleasePoisonRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ReleasePoisonOperation,
+			ID:   "releasePoison",
+		}
+	)
+	params, err := decodeReleasePoisonParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *PoisonRelease
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ReleasePoisonOperation,
+			OperationSummary: "",
+			OperationID:      "releasePoison",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "fingerprint",
+					In:   "path",
+				}: params.Fingerprint,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = ReleasePoisonParams
+			Response = *PoisonRelease
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackReleasePoisonParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ReleasePoison(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ReleasePoison(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeReleasePoisonResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleWaitInForceRequest handles waitInForce operation.
 //
 // Waits until every node that can be reached runs at least this version, or the wait ends.
--- a/internal/sdoperatorapi/oas_json_gen.go
+++ b/internal/sdoperatorapi/oas_json_gen.go
@@ -1050,117 +1050,66 @@
 }
 
 // Encode implements json.Marshaler.
-func (s *Policy) Encode(e *jx.Encoder) {
+func (s *PoisonList) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Policy) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("service")
-		e.Str(s.Service)
-	}
+func (s *PoisonList) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("operations")
+		e.FieldStart("requests")
 		e.ArrStart()
-		for _, elem := range s.Operations {
+		for _, elem := range s.Requests {
 			elem.Encode(e)
 		}
 		e.ArrEnd()
 	}
-	{
-		if s.RetryRatio.Set {
-			e.FieldStart("retry_ratio")
-			s.RetryRatio.Encode(e)
-		}
-	}
-	{
-		if s.KeyRetentionMs.Set {
-			e.FieldStart("key_retention_ms")
-			s.KeyRetentionMs.Encode(e)
-		}
-	}
 }
 
-var jsonFieldsNameOfPolicy = [4]string{
-	0: "service",
-	1: "operations",
-	2: "retry_ratio",
-	3: "key_retention_ms",
+var jsonFieldsNameOfPoisonList = [1]string{
+	0: "requests",
 }
 
-// Decode decodes Policy from json.
-func (s *Policy) Decode(d *jx.Decoder) error {
+// Decode decodes PoisonList from json.
+func (s *PoisonList) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode Policy to nil")
+		return errors.New("invalid: unable to decode PoisonList to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "service":
+		case "requests":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Str()
-				s.Service = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"service\"")
-			}
-		case "operations":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				s.Operations = make([]Operation, 0)
+				s.Requests = make([]PoisonRequest, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem Operation
+					var elem PoisonRequest
 					if err := elem.Decode(d); err != nil {
 						return err
 					}
-					s.Operations = append(s.Operations, elem)
+					s.Requests = append(s.Requests, elem)
 					return nil
 				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"operations\"")
-			}
-		case "retry_ratio":
-			if err := func() error {
-				s.RetryRatio.Reset()
-				if err := s.RetryRatio.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"retry_ratio\"")
-			}
-		case "key_retention_ms":
-			if err := func() error {
-				s.KeyRetentionMs.Reset()
-				if err := s.KeyRetentionMs.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"key_retention_ms\"")
+				return errors.Wrap(err, "decode field \"requests\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode Policy")
+		return errors.Wrap(err, "decode PoisonList")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1172,8 +1121,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfPolicy) {
-					name = jsonFieldsNameOfPolicy[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfPoisonList) {
+					name = jsonFieldsNameOfPoisonList[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1194,96 +1143,110 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Policy) MarshalJSON() ([]byte, error) {
+func (s *PoisonList) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Policy) UnmarshalJSON(data []byte) error {
+func (s *PoisonList) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *PolicyChange) Encode(e *jx.Encoder) {
+func (s *PoisonRelease) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *PolicyChange) encodeFields(e *jx.Encoder) {
+func (s *PoisonRelease) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("expected_version")
-		e.Int64(s.ExpectedVersion)
+		e.FieldStart("fingerprint")
+		e.Str(s.Fingerprint)
 	}
 	{
-		e.FieldStart("change_id")
-		e.Str(s.ChangeID)
+		e.FieldStart("told")
+		e.Int(s.Told)
 	}
 	{
-		e.FieldStart("policy")
-		s.Policy.Encode(e)
+		e.FieldStart("unreachable")
+		e.ArrStart()
+		for _, elem := range s.Unreachable {
+			e.Str(elem)
+		}
+		e.ArrEnd()
 	}
 }
 
-var jsonFieldsNameOfPolicyChange = [3]string{
-	0: "expected_version",
-	1: "change_id",
-	2: "policy",
+var jsonFieldsNameOfPoisonRelease = [3]string{
+	0: "fingerprint",
+	1: "told",
+	2: "unreachable",
 }
 
-// Decode decodes PolicyChange from json.
-func (s *PolicyChange) Decode(d *jx.Decoder) error {
+// Decode decodes PoisonRelease from json.
+func (s *PoisonRelease) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode PolicyChange to nil")
+		return errors.New("invalid: unable to decode PoisonRelease to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "expected_version":
+		case "fingerprint":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Int64()
-				s.ExpectedVersion = int64(v)
+				v, err := d.Str()
+				s.Fingerprint = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"expected_version\"")
+				return errors.Wrap(err, "decode field \"fingerprint\"")
 			}
-		case "change_id":
+		case "told":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.Str()
-				s.ChangeID = string(v)
+				v, err := d.Int()
+				s.Told = int(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"change_id\"")
+				return errors.Wrap(err, "decode field \"told\"")
 			}
-		case "policy":
+		case "unreachable":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				if err := s.Policy.Decode(d); err != nil {
+				s.Unreachable = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Unreachable = append(s.Unreachable, elem)
+					return nil
+				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"policy\"")
+				return errors.Wrap(err, "decode field \"unreachable\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode PolicyChange")
+		return errors.Wrap(err, "decode PoisonRelease")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
@@ -1300,8 +1263,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfPolicyChange) {
-					name = jsonFieldsNameOfPolicyChange[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfPoisonRelease) {
+					name = jsonFieldsNameOfPoisonRelease[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1322,57 +1285,90 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *PolicyChange) MarshalJSON() ([]byte, error) {
+func (s *PoisonRelease) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PolicyChange) UnmarshalJSON(data []byte) error {
+func (s *PoisonRelease) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *PolicyHistory) Encode(e *jx.Encoder) {
+func (s *PoisonRequest) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *PolicyHistory) encodeFields(e *jx.Encoder) {
+func (s *PoisonRequest) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("fingerprint")
+		e.Str(s.Fingerprint)
+	}
 	{
 		e.FieldStart("service")
 		e.Str(s.Service)
 	}
 	{
-		e.FieldStart("changes")
-		e.ArrStart()
-		for _, elem := range s.Changes {
-			elem.Encode(e)
-		}
-		e.ArrEnd()
+		e.FieldStart("method")
+		e.Str(s.Method)
+	}
+	{
+		e.FieldStart("path")
+		e.Str(s.Path)
+	}
+	{
+		e.FieldStart("crashes")
+		e.Int(s.Crashes)
+	}
+	{
+		e.FieldStart("blocked")
+		e.Bool(s.Blocked)
+	}
+	{
+		e.FieldStart("until")
+		json.EncodeDateTime(e, s.Until)
 	}
 }
 
-var jsonFieldsNameOfPolicyHistory = [2]string{
-	0: "service",
-	1: "changes",
+var jsonFieldsNameOfPoisonRequest = [7]string{
+	0: "fingerprint",
+	1: "service",
+	2: "method",
+	3: "path",
+	4: "crashes",
+	5: "blocked",
+	6: "until",
 }
 
-// Decode decodes PolicyHistory from json.
-func (s *PolicyHistory) Decode(d *jx.Decoder) error {
+// Decode decodes PoisonRequest from json.
+func (s *PoisonRequest) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode PolicyHistory to nil")
+		return errors.New("invalid: unable to decode PoisonRequest to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "service":
+		case "fingerprint":
 			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Fingerprint = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"fingerprint\"")
+			}
+		case "service":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Str()
 				s.Service = string(v)
@@ -1383,35 +1379,77 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"service\"")
 			}
-		case "changes":
-			requiredBitSet[0] |= 1 << 1
+		case "method":
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				s.Changes = make([]PolicyRecord, 0)
-				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem PolicyRecord
-					if err := elem.Decode(d); err != nil {
-						return err
-					}
-					s.Changes = append(s.Changes, elem)
-					return nil
-				}); err != nil {
+				v, err := d.Str()
+				s.Method = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"changes\"")
+				return errors.Wrap(err, "decode field \"method\"")
+			}
+		case "path":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Path = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"path\"")
+			}
+		case "crashes":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Crashes = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"crashes\"")
+			}
+		case "blocked":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Bool()
+				s.Blocked = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"blocked\"")
+			}
+		case "until":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Until = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"until\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode PolicyHistory")
+		return errors.Wrap(err, "decode PoisonRequest")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b01111111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1423,8 +1461,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfPolicyHistory) {
-					name = jsonFieldsNameOfPolicyHistory[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfPoisonRequest) {
+					name = jsonFieldsNameOfPoisonRequest[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1445,79 +1483,130 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *PolicyHistory) MarshalJSON() ([]byte, error) {
+func (s *PoisonRequest) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PolicyHistory) UnmarshalJSON(data []byte) error {
+func (s *PoisonRequest) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *PolicyList) Encode(e *jx.Encoder) {
+func (s *Policy) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *PolicyList) encodeFields(e *jx.Encoder) {
+func (s *Policy) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("policies")
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("operations")
 		e.ArrStart()
-		for _, elem := range s.Policies {
+		for _, elem := range s.Operations {
 			elem.Encode(e)
 		}
 		e.ArrEnd()
 	}
+	{
+		if s.RetryRatio.Set {
+			e.FieldStart("retry_ratio")
+			s.RetryRatio.Encode(e)
+		}
+	}
+	{
+		if s.KeyRetentionMs.Set {
+			e.FieldStart("key_retention_ms")
+			s.KeyRetentionMs.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfPolicyList = [1]string{
-	0: "policies",
+var jsonFieldsNameOfPolicy = [4]string{
+	0: "service",
+	1: "operations",
+	2: "retry_ratio",
+	3: "key_retention_ms",
 }
 
-// Decode decodes PolicyList from json.
-func (s *PolicyList) Decode(d *jx.Decoder) error {
+// Decode decodes Policy from json.
+func (s *Policy) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode PolicyList to nil")
+		return errors.New("invalid: unable to decode Policy to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "policies":
+		case "service":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				s.Policies = make([]PolicyRecord, 0)
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "operations":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				s.Operations = make([]Operation, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem PolicyRecord
+					var elem Operation
 					if err := elem.Decode(d); err != nil {
 						return err
 					}
-					s.Policies = append(s.Policies, elem)
+					s.Operations = append(s.Operations, elem)
 					return nil
 				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"policies\"")
+				return errors.Wrap(err, "decode field \"operations\"")
+			}
+		case "retry_ratio":
+			if err := func() error {
+				s.RetryRatio.Reset()
+				if err := s.RetryRatio.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"retry_ratio\"")
+			}
+		case "key_retention_ms":
+			if err := func() error {
+				s.KeyRetentionMs.Reset()
+				if err := s.KeyRetentionMs.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key_retention_ms\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode PolicyList")
+		return errors.Wrap(err, "decode Policy")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000001,
+		0b00000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1529,8 +1618,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfPolicyList) {
-					name = jsonFieldsNameOfPolicyList[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfPolicy) {
+					name = jsonFieldsNameOfPolicy[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1551,106 +1640,70 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *PolicyList) MarshalJSON() ([]byte, error) {
+func (s *Policy) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PolicyList) UnmarshalJSON(data []byte) error {
+func (s *Policy) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *PolicyRecord) Encode(e *jx.Encoder) {
+func (s *PolicyChange) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *PolicyRecord) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("service")
-		e.Str(s.Service)
-	}
+func (s *PolicyChange) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("version")
-		e.Int64(s.Version)
+		e.FieldStart("expected_version")
+		e.Int64(s.ExpectedVersion)
 	}
 	{
 		e.FieldStart("change_id")
 		e.Str(s.ChangeID)
 	}
 	{
-		e.FieldStart("deleted")
-		e.Bool(s.Deleted)
-	}
-	{
-		e.FieldStart("changed_at")
-		json.EncodeDateTime(e, s.ChangedAt)
-	}
-	{
-		if s.Stale.Set {
-			e.FieldStart("stale")
-			s.Stale.Encode(e)
-		}
-	}
-	{
-		if s.Policy.Set {
-			e.FieldStart("policy")
-			s.Policy.Encode(e)
-		}
+		e.FieldStart("policy")
+		s.Policy.Encode(e)
 	}
 }
 
-var jsonFieldsNameOfPolicyRecord = [7]string{
-	0: "service",
-	1: "version",
-	2: "change_id",
-	3: "deleted",
-	4: "changed_at",
-	5: "stale",
-	6: "policy",
+var jsonFieldsNameOfPolicyChange = [3]string{
+	0: "expected_version",
+	1: "change_id",
+	2: "policy",
 }
 
-// Decode decodes PolicyRecord from json.
-func (s *PolicyRecord) Decode(d *jx.Decoder) error {
+// Decode decodes PolicyChange from json.
+func (s *PolicyChange) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode PolicyRecord to nil")
+		return errors.New("invalid: unable to decode PolicyChange to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "service":
+		case "expected_version":
 			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Service = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"service\"")
-			}
-		case "version":
-			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Int64()
-				s.Version = int64(v)
+				s.ExpectedVersion = int64(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"version\"")
+				return errors.Wrap(err, "decode field \"expected_version\"")
 			}
 		case "change_id":
-			requiredBitSet[0] |= 1 << 2
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Str()
 				s.ChangeID = string(v)
@@ -1661,43 +1714,9 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"change_id\"")
 			}
-		case "deleted":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				v, err := d.Bool()
-				s.Deleted = bool(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"deleted\"")
-			}
-		case "changed_at":
-			requiredBitSet[0] |= 1 << 4
-			if err := func() error {
-				v, err := json.DecodeDateTime(d)
-				s.ChangedAt = v
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"changed_at\"")
-			}
-		case "stale":
-			if err := func() error {
-				s.Stale.Reset()
-				if err := s.Stale.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"stale\"")
-			}
 		case "policy":
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				s.Policy.Reset()
 				if err := s.Policy.Decode(d); err != nil {
 					return err
 				}
@@ -1710,12 +1729,12 @@
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode PolicyRecord")
+		return errors.Wrap(err, "decode PolicyChange")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1727,8 +1746,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfPolicyRecord) {
-					name = jsonFieldsNameOfPolicyRecord[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfPolicyChange) {
+					name = jsonFieldsNameOfPolicyChange[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1749,188 +1768,882 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *PolicyRecord) MarshalJSON() ([]byte, error) {
+func (s *PolicyChange) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *PolicyRecord) UnmarshalJSON(data []byte) error {
+func (s *PolicyChange) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *Problem) Encode(e *jx.Encoder) {
+func (s *PolicyHistory) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Problem) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("type")
-		e.Str(s.Type)
-	}
-	{
-		e.FieldStart("title")
-		e.Str(s.Title)
-	}
-	{
-		e.FieldStart("status")
-		e.Int(s.Status)
-	}
-	{
-		if s.Detail.Set {
-			e.FieldStart("detail")
-			s.Detail.Encode(e)
-		}
-	}
-	{
-		if s.Field.Set {
-			e.FieldStart("field")
-			s.Field.Encode(e)
-		}
-	}
-	{
-		if s.Remedy.Set {
-			e.FieldStart("remedy")
-			s.Remedy.Encode(e)
-		}
-	}
+func (s *PolicyHistory) encodeFields(e *jx.Encoder) {
 	{
-		if s.Outcome.Set {
-			e.FieldStart("outcome")
-			s.Outcome.Encode(e)
-		}
+		e.FieldStart("service")
+		e.Str(s.Service)
 	}
 	{
-		if s.CurrentVersion.Set {
-			e.FieldStart("current_version")
-			s.CurrentVersion.Encode(e)
+		e.FieldStart("changes")
+		e.ArrStart()
+		for _, elem := range s.Changes {
+			elem.Encode(e)
 		}
+		e.ArrEnd()
 	}
 }
 
-var jsonFieldsNameOfProblem = [8]string{
-	0: "type",
-	1: "title",
-	2: "status",
-	3: "detail",
-	4: "field",
-	5: "remedy",
-	6: "outcome",
-	7: "current_version",
+var jsonFieldsNameOfPolicyHistory = [2]string{
+	0: "service",
+	1: "changes",
 }
 
-// Decode decodes Problem from json.
-func (s *Problem) Decode(d *jx.Decoder) error {
+// Decode decodes PolicyHistory from json.
+func (s *PolicyHistory) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode Problem to nil")
+		return errors.New("invalid: unable to decode PolicyHistory to nil")
 	}
 	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "type":
+		case "service":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
 				v, err := d.Str()
-				s.Type = string(v)
+				s.Service = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"type\"")
+				return errors.Wrap(err, "decode field \"service\"")
 			}
-		case "title":
+		case "changes":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.Str()
-				s.Title = string(v)
-				if err != nil {
+				s.Changes = make([]PolicyRecord, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem PolicyRecord
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Changes = append(s.Changes, elem)
+					return nil
+				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"title\"")
+				return errors.Wrap(err, "decode field \"changes\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode PolicyHistory")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000011,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPolicyHistory) {
+					name = jsonFieldsNameOfPolicyHistory[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *PolicyHistory) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PolicyHistory) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *PolicyList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *PolicyList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("policies")
+		e.ArrStart()
+		for _, elem := range s.Policies {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfPolicyList = [1]string{
+	0: "policies",
+}
+
+// Decode decodes PolicyList from json.
+func (s *PolicyList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode PolicyList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "policies":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				s.Policies = make([]PolicyRecord, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem PolicyRecord
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Policies = append(s.Policies, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"policies\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode PolicyList")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPolicyList) {
+					name = jsonFieldsNameOfPolicyList[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *PolicyList) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PolicyList) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *PolicyRecord) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *PolicyRecord) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("version")
+		e.Int64(s.Version)
+	}
+	{
+		e.FieldStart("change_id")
+		e.Str(s.ChangeID)
+	}
+	{
+		e.FieldStart("deleted")
+		e.Bool(s.Deleted)
+	}
+	{
+		e.FieldStart("changed_at")
+		json.EncodeDateTime(e, s.ChangedAt)
+	}
+	{
+		if s.Stale.Set {
+			e.FieldStart("stale")
+			s.Stale.Encode(e)
+		}
+	}
+	{
+		if s.Policy.Set {
+			e.FieldStart("policy")
+			s.Policy.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfPolicyRecord = [7]string{
+	0: "service",
+	1: "version",
+	2: "change_id",
+	3: "deleted",
+	4: "changed_at",
+	5: "stale",
+	6: "policy",
+}
+
+// Decode decodes PolicyRecord from json.
+func (s *PolicyRecord) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode PolicyRecord to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Service = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "version":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Version = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "change_id":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.ChangeID = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"change_id\"")
+			}
+		case "deleted":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Bool()
+				s.Deleted = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"deleted\"")
+			}
+		case "changed_at":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.ChangedAt = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"changed_at\"")
+			}
+		case "stale":
+			if err := func() error {
+				s.Stale.Reset()
+				if err := s.Stale.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"stale\"")
+			}
+		case "policy":
+			if err := func() error {
+				s.Policy.Reset()
+				if err := s.Policy.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"policy\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode PolicyRecord")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfPolicyRecord) {
+					name = jsonFieldsNameOfPolicyRecord[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *PolicyRecord) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *PolicyRecord) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Problem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Problem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("type")
+		e.Str(s.Type)
+	}
+	{
+		e.FieldStart("title")
+		e.Str(s.Title)
+	}
+	{
+		e.FieldStart("status")
+		e.Int(s.Status)
+	}
+	{
+		if s.Detail.Set {
+			e.FieldStart("detail")
+			s.Detail.Encode(e)
+		}
+	}
+	{
+		if s.Field.Set {
+			e.FieldStart("field")
+			s.Field.Encode(e)
+		}
+	}
+	{
+		if s.Remedy.Set {
+			e.FieldStart("remedy")
+			s.Remedy.Encode(e)
+		}
+	}
+	{
+		if s.Outcome.Set {
+			e.FieldStart("outcome")
+			s.Outcome.Encode(e)
+		}
+	}
+	{
+		if s.CurrentVersion.Set {
+			e.FieldStart("current_version")
+			s.CurrentVersion.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfProblem = [8]string{
+	0: "type",
+	1: "title",
+	2: "status",
+	3: "detail",
+	4: "field",
+	5: "remedy",
+	6: "outcome",
+	7: "current_version",
+}
+
+// Decode decodes Problem from json.
+func (s *Problem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Problem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "type":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Type = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"type\"")
+			}
+		case "title":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Title = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"title\"")
+			}
+		case "status":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Status = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"status\"")
+			}
+		case "detail":
+			if err := func() error {
+				s.Detail.Reset()
+				if err := s.Detail.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"detail\"")
+			}
+		case "field":
+			if err := func() error {
+				s.Field.Reset()
+				if err := s.Field.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"field\"")
 			}
-		case "status":
+		case "remedy":
+			if err := func() error {
+				s.Remedy.Reset()
+				if err := s.Remedy.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"remedy\"")
+			}
+		case "outcome":
+			if err := func() error {
+				s.Outcome.Reset()
+				if err := s.Outcome.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"outcome\"")
+			}
+		case "current_version":
+			if err := func() error {
+				s.CurrentVersion.Reset()
+				if err := s.CurrentVersion.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"current_version\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Problem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfProblem) {
+					name = jsonFieldsNameOfProblem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Problem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Problem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *Status) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Status) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("node")
+		e.Str(s.Node)
+	}
+	{
+		e.FieldStart("incarnation")
+		e.Int64(s.Incarnation)
+	}
+	{
+		e.FieldStart("data_centre")
+		e.Str(s.DataCentre)
+	}
+	{
+		e.FieldStart("region")
+		e.Str(s.Region)
+	}
+	{
+		e.FieldStart("version")
+		e.Str(s.Version)
+	}
+	{
+		if s.Service.Set {
+			e.FieldStart("service")
+			s.Service.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("target_state")
+		e.Str(s.TargetState)
+	}
+	{
+		e.FieldStart("nodes_alive")
+		e.Int(s.NodesAlive)
+	}
+	{
+		e.FieldStart("policies")
+		e.Int(s.Policies)
+	}
+	{
+		if s.PoliciesRejected.Set {
+			e.FieldStart("policies_rejected")
+			s.PoliciesRejected.Encode(e)
+		}
+	}
+	{
+		if s.PlatformReachable.Set {
+			e.FieldStart("platform_reachable")
+			s.PlatformReachable.Encode(e)
+		}
+	}
+}
+
+var jsonFieldsNameOfStatus = [11]string{
+	0:  "node",
+	1:  "incarnation",
+	2:  "data_centre",
+	3:  "region",
+	4:  "version",
+	5:  "service",
+	6:  "target_state",
+	7:  "nodes_alive",
+	8:  "policies",
+	9:  "policies_rejected",
+	10: "platform_reachable",
+}
+
+// Decode decodes Status from json.
+func (s *Status) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Status to nil")
+	}
+	var requiredBitSet [2]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "node":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Node = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"node\"")
+			}
+		case "incarnation":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Incarnation = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"incarnation\"")
+			}
+		case "data_centre":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				v, err := d.Int()
-				s.Status = int(v)
+				v, err := d.Str()
+				s.DataCentre = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"status\"")
+				return errors.Wrap(err, "decode field \"data_centre\"")
 			}
-		case "detail":
+		case "region":
+			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
-				s.Detail.Reset()
-				if err := s.Detail.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Region = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"detail\"")
+				return errors.Wrap(err, "decode field \"region\"")
 			}
-		case "field":
+		case "version":
+			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
-				s.Field.Reset()
-				if err := s.Field.Decode(d); err != nil {
+				v, err := d.Str()
+				s.Version = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"field\"")
+				return errors.Wrap(err, "decode field \"version\"")
+			}
+		case "service":
+			if err := func() error {
+				s.Service.Reset()
+				if err := s.Service.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"service\"")
+			}
+		case "target_state":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Str()
+				s.TargetState = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"target_state\"")
+			}
+		case "nodes_alive":
+			requiredBitSet[0] |= 1 << 7
+			if err := func() error {
+				v, err := d.Int()
+				s.NodesAlive = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"nodes_alive\"")
 			}
-		case "remedy":
+		case "policies":
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
-				s.Remedy.Reset()
-				if err := s.Remedy.Decode(d); err != nil {
+				v, err := d.Int()
+				s.Policies = int(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"remedy\"")
+				return errors.Wrap(err, "decode field \"policies\"")
 			}
-		case "outcome":
+		case "policies_rejected":
 			if err := func() error {
-				s.Outcome.Reset()
-				if err := s.Outcome.Decode(d); err != nil {
+				s.PoliciesRejected.Reset()
+				if err := s.PoliciesRejected.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"outcome\"")
+				return errors.Wrap(err, "decode field \"policies_rejected\"")
 			}
-		case "current_version":
+		case "platform_reachable":
 			if err := func() error {
-				s.CurrentVersion.Reset()
-				if err := s.CurrentVersion.Decode(d); err != nil {
+				s.PlatformReachable.Reset()
+				if err := s.PlatformReachable.Decode(d); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"current_version\"")
+				return errors.Wrap(err, "decode field \"platform_reachable\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode Problem")
+		return errors.Wrap(err, "decode Status")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b00000111,
+	for i, mask := range [2]uint8{
+		0b11011111,
+		0b00000001,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1942,8 +2655,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfProblem) {
-					name = jsonFieldsNameOfProblem[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfStatus) {
+					name = jsonFieldsNameOfStatus[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -1964,240 +2677,328 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Problem) MarshalJSON() ([]byte, error) {
+func (s *Status) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Problem) UnmarshalJSON(data []byte) error {
+func (s *Status) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
 
 // Encode implements json.Marshaler.
-func (s *Status) Encode(e *jx.Encoder) {
+func (s *UnknownOutcome) Encode(e *jx.Encoder) {
 	e.ObjStart()
 	s.encodeFields(e)
 	e.ObjEnd()
 }
 
 // encodeFields encodes fields.
-func (s *Status) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("node")
-		e.Str(s.Node)
-	}
-	{
-		e.FieldStart("incarnation")
-		e.Int64(s.Incarnation)
-	}
-	{
-		e.FieldStart("data_centre")
-		e.Str(s.DataCentre)
-	}
+func (s *UnknownOutcome) encodeFields(e *jx.Encoder) {
 	{
-		e.FieldStart("region")
-		e.Str(s.Region)
+		e.FieldStart("at")
+		json.EncodeDateTime(e, s.At)
 	}
 	{
-		e.FieldStart("version")
-		e.Str(s.Version)
+		e.FieldStart("service")
+		e.Str(s.Service)
 	}
 	{
-		if s.Service.Set {
-			e.FieldStart("service")
-			s.Service.Encode(e)
-		}
+		e.FieldStart("operation")
+		e.Str(s.Operation)
 	}
 	{
-		e.FieldStart("target_state")
-		e.Str(s.TargetState)
+		e.FieldStart("key")
+		e.Str(s.Key)
 	}
 	{
-		e.FieldStart("nodes_alive")
-		e.Int(s.NodesAlive)
+		e.FieldStart("caller")
+		e.Str(s.Caller)
 	}
 	{
-		e.FieldStart("policies")
-		e.Int(s.Policies)
+		e.FieldStart("request_id")
+		e.Str(s.RequestID)
 	}
 	{
-		if s.PoliciesRejected.Set {
-			e.FieldStart("policies_rejected")
-			s.PoliciesRejected.Encode(e)
-		}
+		e.FieldStart("reason")
+		e.Str(s.Reason)
 	}
 	{
-		if s.PlatformReachable.Set {
-			e.FieldStart("platform_reachable")
-			s.PlatformReachable.Encode(e)
-		}
+		e.FieldStart("node")
+		e.Str(s.Node)
 	}
 }
 
-var jsonFieldsNameOfStatus = [11]string{
-	0:  "node",
-	1:  "incarnation",
-	2:  "data_centre",
-	3:  "region",
-	4:  "version",
-	5:  "service",
-	6:  "target_state",
-	7:  "nodes_alive",
-	8:  "policies",
-	9:  "policies_rejected",
-	10: "platform_reachable",
+var jsonFieldsNameOfUnknownOutcome = [8]string{
+	0: "at",
+	1: "service",
+	2: "operation",
+	3: "key",
+	4: "caller",
+	5: "request_id",
+	6: "reason",
+	7: "node",
 }
 
-// Decode decodes Status from json.
-func (s *Status) Decode(d *jx.Decoder) error {
+// Decode decodes UnknownOutcome from json.
+func (s *UnknownOutcome) Decode(d *jx.Decoder) error {
 	if s == nil {
-		return errors.New("invalid: unable to decode Status to nil")
+		return errors.New("invalid: unable to decode UnknownOutcome to nil")
 	}
-	var requiredBitSet [2]uint8
+	var requiredBitSet [1]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
-		case "node":
+		case "at":
 			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Str()
-				s.Node = string(v)
+				v, err := json.DecodeDateTime(d)
+				s.At = v
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"node\"")
+				return errors.Wrap(err, "decode field \"at\"")
 			}
-		case "incarnation":
+		case "service":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := d.Int64()
-				s.Incarnation = int64(v)
+				v, err := d.Str()
+				s.Service = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"incarnation\"")
+				return errors.Wrap(err, "decode field \"service\"")
 			}
-		case "data_centre":
+		case "operation":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				v, err := d.Str()
-				s.DataCentre = string(v)
+				s.Operation = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"data_centre\"")
+				return errors.Wrap(err, "decode field \"operation\"")
 			}
-		case "region":
+		case "key":
 			requiredBitSet[0] |= 1 << 3
 			if err := func() error {
 				v, err := d.Str()
-				s.Region = string(v)
+				s.Key = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"region\"")
+				return errors.Wrap(err, "decode field \"key\"")
 			}
-		case "version":
+		case "caller":
 			requiredBitSet[0] |= 1 << 4
 			if err := func() error {
 				v, err := d.Str()
-				s.Version = string(v)
+				s.Caller = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"version\"")
+				return errors.Wrap(err, "decode field \"caller\"")
 			}
-		case "service":
+		case "request_id":
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
-				s.Service.Reset()
-				if err := s.Service.Decode(d); err != nil {
+				v, err := d.Str()
+				s.RequestID = string(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"service\"")
+				return errors.Wrap(err, "decode field \"request_id\"")
 			}
-		case "target_state":
+		case "reason":
 			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				v, err := d.Str()
-				s.TargetState = string(v)
+				s.Reason = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"target_state\"")
+				return errors.Wrap(err, "decode field \"reason\"")
 			}
-		case "nodes_alive":
+		case "node":
 			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
-				v, err := d.Int()
-				s.NodesAlive = int(v)
+				v, err := d.Str()
+				s.Node = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"nodes_alive\"")
+				return errors.Wrap(err, "decode field \"node\"")
 			}
-		case "policies":
-			requiredBitSet[1] |= 1 << 0
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode UnknownOutcome")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b11111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfUnknownOutcome) {
+					name = jsonFieldsNameOfUnknownOutcome[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *UnknownOutcome) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *UnknownOutcome) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *UnknownOutcomeList) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *UnknownOutcomeList) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("service")
+		e.Str(s.Service)
+	}
+	{
+		e.FieldStart("complete")
+		e.Bool(s.Complete)
+	}
+	{
+		e.FieldStart("outcomes")
+		e.ArrStart()
+		for _, elem := range s.Outcomes {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfUnknownOutcomeList = [3]string{
+	0: "service",
+	1: "complete",
+	2: "outcomes",
+}
+
+// Decode decodes UnknownOutcomeList from json.
+func (s *UnknownOutcomeList) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode UnknownOutcomeList to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "service":
+			requiredBitSet[0] |= 1 << 0
 			if err := func() error {
-				v, err := d.Int()
-				s.Policies = int(v)
+				v, err := d.Str()
+				s.Service = string(v)
 				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"policies\"")
+				return errors.Wrap(err, "decode field \"service\"")
 			}
-		case "policies_rejected":
+		case "complete":
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				s.PoliciesRejected.Reset()
-				if err := s.PoliciesRejected.Decode(d); err != nil {
+				v, err := d.Bool()
+				s.Complete = bool(v)
+				if err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"policies_rejected\"")
+				return errors.Wrap(err, "decode field \"complete\"")
 			}
-		case "platform_reachable":
+		case "outcomes":
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				s.PlatformReachable.Reset()
-				if err := s.PlatformReachable.Decode(d); err != nil {
+				s.Outcomes = make([]UnknownOutcome, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem UnknownOutcome
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Outcomes = append(s.Outcomes, elem)
+					return nil
+				}); err != nil {
 					return err
 				}
 				return nil
 			}(); err != nil {
-				return errors.Wrap(err, "decode field \"platform_reachable\"")
+				return errors.Wrap(err, "decode field \"outcomes\"")
 			}
 		default:
 			return d.Skip()
 		}
 		return nil
 	}); err != nil {
-		return errors.Wrap(err, "decode Status")
+		return errors.Wrap(err, "decode UnknownOutcomeList")
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [2]uint8{
-		0b11011111,
-		0b00000001,
+	for i, mask := range [1]uint8{
+		0b00000111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -2209,8 +3010,8 @@
 				bitIdx := bits.TrailingZeros8(result)
 				fieldIdx := i*8 + bitIdx
 				var name string
-				if fieldIdx < len(jsonFieldsNameOfStatus) {
-					name = jsonFieldsNameOfStatus[fieldIdx]
+				if fieldIdx < len(jsonFieldsNameOfUnknownOutcomeList) {
+					name = jsonFieldsNameOfUnknownOutcomeList[fieldIdx]
 				} else {
 					name = strconv.Itoa(fieldIdx)
 				}
@@ -2231,14 +3032,14 @@
 }
 
 // MarshalJSON implements stdjson.Marshaler.
-func (s *Status) MarshalJSON() ([]byte, error) {
+func (s *UnknownOutcomeList) MarshalJSON() ([]byte, error) {
 	e := jx.Encoder{}
 	s.Encode(&e)
 	return e.Bytes(), nil
 }
 
 // UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *Status) UnmarshalJSON(data []byte) error {
+func (s *UnknownOutcomeList) UnmarshalJSON(data []byte) error {
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
--- a/internal/sdoperatorapi/oas_operations_gen.go
+++ b/internal/sdoperatorapi/oas_operations_gen.go
@@ -6,13 +6,16 @@
 type OperationName = string
 
 const (
-	DeletePolicyOperation     OperationName = "DeletePolicy"
-	GetDumpOperation          OperationName = "GetDump"
-	GetPolicyOperation        OperationName = "GetPolicy"
-	GetPolicyHistoryOperation OperationName = "GetPolicyHistory"
-	GetStatusOperation        OperationName = "GetStatus"
-	ListNodesOperation        OperationName = "ListNodes"
-	ListPoliciesOperation     OperationName = "ListPolicies"
-	PutPolicyOperation        OperationName = "PutPolicy"
-	WaitInForceOperation      OperationName = "WaitInForce"
+	DeletePolicyOperation        OperationName = "DeletePolicy"
+	GetDumpOperation             OperationName = "GetDump"
+	GetPolicyOperation           OperationName = "GetPolicy"
+	GetPolicyHistoryOperation    OperationName = "GetPolicyHistory"
+	GetStatusOperation           OperationName = "GetStatus"
+	ListNodesOperation           OperationName = "ListNodes"
+	ListPoisonOperation          OperationName = "ListPoison"
+	ListPoliciesOperation        OperationName = "ListPolicies"
+	ListUnknownOutcomesOperation OperationName = "ListUnknownOutcomes"
+	PutPolicyOperation           OperationName = "PutPolicy"
+	ReleasePoisonOperation       OperationName = "ReleasePoison"
+	WaitInForceOperation         OperationName = "WaitInForce"
 )
--- a/internal/sdoperatorapi/oas_parameters_gen.go
+++ b/internal/sdoperatorapi/oas_parameters_gen.go
@@ -396,6 +396,170 @@
 	return params, nil
 }
 
+// ListUnknownOutcomesParams is parameters of listUnknownOutcomes operation.
+type ListUnknownOutcomesParams struct {
+	Key     OptString `json:",omitempty,omitzero"`
+	Service string
+}
+
+func unpackListUnknownOutcomesParams(packed middleware.Parameters) (params ListUnknownOutcomesParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "key",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Key = v.(OptString)
+		}
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "service",
+			In:   "path",
+		}
+		params.Service = packed[key].(string)
+	}
+	return params
+}
+
+func decodeListUnknownOutcomesParams(args [1]string, argsEscaped bool, r *http.Request) (params ListUnknownOutcomesParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: key.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "key",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotKeyVal string
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotKeyVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Key.SetTo(paramsDotKeyVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Key.Get(); ok {
+					if err := func() error {
+						if err := (validate.String{
+							MinLength:     0,
+							MinLengthSet:  false,
+							MaxLength:     255,
+							MaxLengthSet:  true,
+							Email:         false,
+							Hostname:      false,
+							Regex:         nil,
+							MinNumeric:    0,
+							MinNumericSet: false,
+							MaxNumeric:    0,
+							MaxNumericSet: false,
+						}).Validate(string(value)); err != nil {
+							return errors.Wrap(err, "string")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "key",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	// Decode path: service.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "service",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Service = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     0,
+					MaxLengthSet:  false,
+					Email:         false,
+					Hostname:      false,
+					Regex:         regexMap["^[a-z0-9][a-z0-9.-]{0,62}$"],
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Service)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "service",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // PutPolicyParams is parameters of putPolicy operation.
 type PutPolicyParams struct {
 	Service string
@@ -481,6 +645,91 @@
 	return params, nil
 }
 
+// ReleasePoisonParams is parameters of releasePoison operation.
+type ReleasePoisonParams struct {
+	Fingerprint string
+}
+
+func unpackReleasePoisonParams(packed middleware.Parameters) (params ReleasePoisonParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "fingerprint",
+			In:   "path",
+		}
+		params.Fingerprint = packed[key].(string)
+	}
+	return params
+}
+
+func decodeReleasePoisonParams(args [1]string, argsEscaped bool, r *http.Request) (params ReleasePoisonParams, _ error) {
+	// Decode path: fingerprint.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "fingerprint",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Fingerprint = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     0,
+					MinLengthSet:  false,
+					MaxLength:     0,
+					MaxLengthSet:  false,
+					Email:         false,
+					Hostname:      false,
+					Regex:         regexMap["^[0-9a-f]{16}$"],
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Fingerprint)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "fingerprint",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // WaitInForceParams is parameters of waitInForce operation.
 type WaitInForceParams struct {
 	Version int64
--- a/internal/sdoperatorapi/oas_response_decoders_gen.go
+++ b/internal/sdoperatorapi/oas_response_decoders_gen.go
@@ -547,6 +547,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListPoisonResponse(resp *http.Response) (res *PoisonList, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response PoisonList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListPoliciesResponse(resp *http.Response) (res *PolicyList, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -639,6 +731,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListUnknownOutcomesResponse(resp *http.Response) (res *UnknownOutcomeList, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response UnknownOutcomeList
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodePutPolicyResponse(resp *http.Response) (res *PolicyRecord, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -731,6 +915,98 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeReleasePoisonResponse(resp *http.Response) (res *PoisonRelease, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response PoisonRelease
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeWaitInForceResponse(resp *http.Response) (res *InForce, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/sdoperatorapi/oas_response_encoders_gen.go
+++ b/internal/sdoperatorapi/oas_response_encoders_gen.go
@@ -120,6 +120,27 @@
 	return nil
 }
 
+func encodeListPoisonResponse(response *PoisonList, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListPoliciesResponse(response *PolicyList, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -141,6 +162,27 @@
 	return nil
 }
 
+func encodeListUnknownOutcomesResponse(response *UnknownOutcomeList, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodePutPolicyResponse(response *PolicyRecord, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
@@ -162,6 +204,27 @@
 	return nil
 }
 
+func encodeReleasePoisonResponse(response *PoisonRelease, w http.ResponseWriter) error {
+	if err := func() error {
+		if err := response.Validate(); err != nil {
+			return err
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeWaitInForceResponse(response *InForce, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/internal/sdoperatorapi/oas_router_gen.go
+++ b/internal/sdoperatorapi/oas_router_gen.go
@@ -117,65 +117,34 @@
 					return
 				}
 
-			case 'p': // Prefix: "policies"
+			case 'p': // Prefix: "po"
 
-				if l := len("policies"); len(elem) >= l && elem[0:l] == "policies" {
+				if l := len("po"); len(elem) >= l && elem[0:l] == "po" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					switch r.Method {
-					case "GET":
-						s.handleListPoliciesRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "GET",
-							allowedHeaders: nil,
-							acceptPost:     "",
-							acceptPatch:    "",
-						})
-					}
-
-					return
+					break
 				}
 				switch elem[0] {
-				case '/': // Prefix: "/"
+				case 'i': // Prefix: "ison"
 
-					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+					if l := len("ison"); len(elem) >= l && elem[0:l] == "ison" {
 						elem = elem[l:]
 					} else {
 						break
 					}
 
-					// Param: "service"
-					// Match until "/"
-					idx := strings.IndexByte(elem, '/')
-					if idx < 0 {
-						idx = len(elem)
-					}
-					args[0] = elem[:idx]
-					elem = elem[idx:]
-
 					if len(elem) == 0 {
 						switch r.Method {
-						case "DELETE":
-							s.handleDeletePolicyRequest([1]string{
-								args[0],
-							}, elemIsEscaped, w, r)
 						case "GET":
-							s.handleGetPolicyRequest([1]string{
-								args[0],
-							}, elemIsEscaped, w, r)
-						case "PUT":
-							s.handlePutPolicyRequest([1]string{
-								args[0],
-							}, elemIsEscaped, w, r)
+							s.handleListPoisonRequest([0]string{}, elemIsEscaped, w, r)
 						default:
 							s.notAllowed(w, r, notAllowedParams{
-								allowedMethods: "DELETE,GET,PUT",
-								allowedHeaders: rn2AllowedHeaders,
+								allowedMethods: "GET",
+								allowedHeaders: nil,
 								acceptPost:     "",
 								acceptPatch:    "",
 							})
@@ -192,13 +161,22 @@
 							break
 						}
 
+						// Param: "fingerprint"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[0] = elem[:idx]
+						elem = elem[idx:]
+
 						if len(elem) == 0 {
 							break
 						}
 						switch elem[0] {
-						case 'h': // Prefix: "history"
+						case '/': // Prefix: "/release"
 
-							if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
+							if l := len("/release"); len(elem) >= l && elem[0:l] == "/release" {
 								elem = elem[l:]
 							} else {
 								break
@@ -207,13 +185,13 @@
 							if len(elem) == 0 {
 								// Leaf node.
 								switch r.Method {
-								case "GET":
-									s.handleGetPolicyHistoryRequest([1]string{
+								case "POST":
+									s.handleReleasePoisonRequest([1]string{
 										args[0],
 									}, elemIsEscaped, w, r)
 								default:
 									s.notAllowed(w, r, notAllowedParams{
-										allowedMethods: "GET",
+										allowedMethods: "POST",
 										allowedHeaders: nil,
 										acceptPost:     "",
 										acceptPatch:    "",
@@ -223,31 +201,143 @@
 								return
 							}
 
-						case 'i': // Prefix: "in_force"
+						}
+
+					}
+
+				case 'l': // Prefix: "licies"
+
+					if l := len("licies"); len(elem) >= l && elem[0:l] == "licies" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						switch r.Method {
+						case "GET":
+							s.handleListPoliciesRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "service"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[0] = elem[:idx]
+						elem = elem[idx:]
+
+						if len(elem) == 0 {
+							switch r.Method {
+							case "DELETE":
+								s.handleDeletePolicyRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							case "GET":
+								s.handleGetPolicyRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							case "PUT":
+								s.handlePutPolicyRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "DELETE,GET,PUT",
+									allowedHeaders: rn2AllowedHeaders,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/"
 
-							if l := len("in_force"); len(elem) >= l && elem[0:l] == "in_force" {
+							if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
 								elem = elem[l:]
 							} else {
 								break
 							}
 
 							if len(elem) == 0 {
-								// Leaf node.
-								switch r.Method {
-								case "GET":
-									s.handleWaitInForceRequest([1]string{
-										args[0],
-									}, elemIsEscaped, w, r)
-								default:
-									s.notAllowed(w, r, notAllowedParams{
-										allowedMethods: "GET",
-										allowedHeaders: nil,
-										acceptPost:     "",
-										acceptPatch:    "",
-									})
+								break
+							}
+							switch elem[0] {
+							case 'h': // Prefix: "history"
+
+								if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
+									elem = elem[l:]
+								} else {
+									break
+								}
+
+								if len(elem) == 0 {
+									// Leaf node.
+									switch r.Method {
+									case "GET":
+										s.handleGetPolicyHistoryRequest([1]string{
+											args[0],
+										}, elemIsEscaped, w, r)
+									default:
+										s.notAllowed(w, r, notAllowedParams{
+											allowedMethods: "GET",
+											allowedHeaders: nil,
+											acceptPost:     "",
+											acceptPatch:    "",
+										})
+									}
+
+									return
+								}
+
+							case 'i': // Prefix: "in_force"
+
+								if l := len("in_force"); len(elem) >= l && elem[0:l] == "in_force" {
+									elem = elem[l:]
+								} else {
+									break
+								}
+
+								if len(elem) == 0 {
+									// Leaf node.
+									switch r.Method {
+									case "GET":
+										s.handleWaitInForceRequest([1]string{
+											args[0],
+										}, elemIsEscaped, w, r)
+									default:
+										s.notAllowed(w, r, notAllowedParams{
+											allowedMethods: "GET",
+											allowedHeaders: nil,
+											acceptPost:     "",
+											acceptPatch:    "",
+										})
+									}
+
+									return
 								}
 
-								return
 							}
 
 						}
@@ -281,6 +371,42 @@
 					return
 				}
 
+			case 'u': // Prefix: "unknown_outcomes/"
+
+				if l := len("unknown_outcomes/"); len(elem) >= l && elem[0:l] == "unknown_outcomes/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "service"
+				// Leaf parameter, slashes are prohibited
+				idx := strings.IndexByte(elem, '/')
+				if idx >= 0 {
+					break
+				}
+				args[0] = elem
+				elem = ""
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleListUnknownOutcomesRequest([1]string{
+							args[0],
+						}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			}
 
 		}
@@ -431,75 +557,36 @@
 					}
 				}
 
-			case 'p': // Prefix: "policies"
+			case 'p': // Prefix: "po"
 
-				if l := len("policies"); len(elem) >= l && elem[0:l] == "policies" {
+				if l := len("po"); len(elem) >= l && elem[0:l] == "po" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					switch method {
-					case "GET":
-						r.name = ListPoliciesOperation
-						r.summary = ""
-						r.operationID = "listPolicies"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/policies"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
-					}
+					break
 				}
 				switch elem[0] {
-				case '/': // Prefix: "/"
+				case 'i': // Prefix: "ison"
 
-					if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+					if l := len("ison"); len(elem) >= l && elem[0:l] == "ison" {
 						elem = elem[l:]
 					} else {
 						break
 					}
 
-					// Param: "service"
-					// Match until "/"
-					idx := strings.IndexByte(elem, '/')
-					if idx < 0 {
-						idx = len(elem)
-					}
-					args[0] = elem[:idx]
-					elem = elem[idx:]
-
 					if len(elem) == 0 {
 						switch method {
-						case "DELETE":
-							r.name = DeletePolicyOperation
-							r.summary = ""
-							r.operationID = "deletePolicy"
-							r.operationGroup = ""
-							r.pathPattern = "/v1/policies/{service}"
-							r.args = args
-							r.count = 1
-							return r, true
 						case "GET":
-							r.name = GetPolicyOperation
+							r.name = ListPoisonOperation
 							r.summary = ""
-							r.operationID = "getPolicy"
+							r.operationID = "listPoison"
 							r.operationGroup = ""
-							r.pathPattern = "/v1/policies/{service}"
+							r.pathPattern = "/v1/poison"
 							r.args = args
-							r.count = 1
-							return r, true
-						case "PUT":
-							r.name = PutPolicyOperation
-							r.summary = ""
-							r.operationID = "putPolicy"
-							r.operationGroup = ""
-							r.pathPattern = "/v1/policies/{service}"
-							r.args = args
-							r.count = 1
+							r.count = 0
 							return r, true
 						default:
 							return
@@ -514,13 +601,22 @@
 							break
 						}
 
+						// Param: "fingerprint"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[0] = elem[:idx]
+						elem = elem[idx:]
+
 						if len(elem) == 0 {
 							break
 						}
 						switch elem[0] {
-						case 'h': // Prefix: "history"
+						case '/': // Prefix: "/release"
 
-							if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
+							if l := len("/release"); len(elem) >= l && elem[0:l] == "/release" {
 								elem = elem[l:]
 							} else {
 								break
@@ -529,12 +625,12 @@
 							if len(elem) == 0 {
 								// Leaf node.
 								switch method {
-								case "GET":
-									r.name = GetPolicyHistoryOperation
+								case "POST":
+									r.name = ReleasePoisonOperation
 									r.summary = ""
-									r.operationID = "getPolicyHistory"
+									r.operationID = "releasePoison"
 									r.operationGroup = ""
-									r.pathPattern = "/v1/policies/{service}/history"
+									r.pathPattern = "/v1/poison/{fingerprint}/release"
 									r.args = args
 									r.count = 1
 									return r, true
@@ -543,29 +639,147 @@
 								}
 							}
 
-						case 'i': // Prefix: "in_force"
+						}
+
+					}
+
+				case 'l': // Prefix: "licies"
+
+					if l := len("licies"); len(elem) >= l && elem[0:l] == "licies" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						switch method {
+						case "GET":
+							r.name = ListPoliciesOperation
+							r.summary = ""
+							r.operationID = "listPolicies"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/policies"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "service"
+						// Match until "/"
+						idx := strings.IndexByte(elem, '/')
+						if idx < 0 {
+							idx = len(elem)
+						}
+						args[0] = elem[:idx]
+						elem = elem[idx:]
 
-							if l := len("in_force"); len(elem) >= l && elem[0:l] == "in_force" {
+						if len(elem) == 0 {
+							switch method {
+							case "DELETE":
+								r.name = DeletePolicyOperation
+								r.summary = ""
+								r.operationID = "deletePolicy"
+								r.operationGroup = ""
+								r.pathPattern = "/v1/policies/{service}"
+								r.args = args
+								r.count = 1
+								return r, true
+							case "GET":
+								r.name = GetPolicyOperation
+								r.summary = ""
+								r.operationID = "getPolicy"
+								r.operationGroup = ""
+								r.pathPattern = "/v1/policies/{service}"
+								r.args = args
+								r.count = 1
+								return r, true
+							case "PUT":
+								r.name = PutPolicyOperation
+								r.summary = ""
+								r.operationID = "putPolicy"
+								r.operationGroup = ""
+								r.pathPattern = "/v1/policies/{service}"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
+						}
+						switch elem[0] {
+						case '/': // Prefix: "/"
+
+							if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
 								elem = elem[l:]
 							} else {
 								break
 							}
 
 							if len(elem) == 0 {
-								// Leaf node.
-								switch method {
-								case "GET":
-									r.name = WaitInForceOperation
-									r.summary = ""
-									r.operationID = "waitInForce"
-									r.operationGroup = ""
-									r.pathPattern = "/v1/policies/{service}/in_force"
-									r.args = args
-									r.count = 1
-									return r, true
-								default:
-									return
+								break
+							}
+							switch elem[0] {
+							case 'h': // Prefix: "history"
+
+								if l := len("history"); len(elem) >= l && elem[0:l] == "history" {
+									elem = elem[l:]
+								} else {
+									break
+								}
+
+								if len(elem) == 0 {
+									// Leaf node.
+									switch method {
+									case "GET":
+										r.name = GetPolicyHistoryOperation
+										r.summary = ""
+										r.operationID = "getPolicyHistory"
+										r.operationGroup = ""
+										r.pathPattern = "/v1/policies/{service}/history"
+										r.args = args
+										r.count = 1
+										return r, true
+									default:
+										return
+									}
+								}
+
+							case 'i': // Prefix: "in_force"
+
+								if l := len("in_force"); len(elem) >= l && elem[0:l] == "in_force" {
+									elem = elem[l:]
+								} else {
+									break
+								}
+
+								if len(elem) == 0 {
+									// Leaf node.
+									switch method {
+									case "GET":
+										r.name = WaitInForceOperation
+										r.summary = ""
+										r.operationID = "waitInForce"
+										r.operationGroup = ""
+										r.pathPattern = "/v1/policies/{service}/in_force"
+										r.args = args
+										r.count = 1
+										return r, true
+									default:
+										return
+									}
 								}
+
 							}
 
 						}
@@ -599,6 +813,40 @@
 					}
 				}
 
+			case 'u': // Prefix: "unknown_outcomes/"
+
+				if l := len("unknown_outcomes/"); len(elem) >= l && elem[0:l] == "unknown_outcomes/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "service"
+				// Leaf parameter, slashes are prohibited
+				idx := strings.IndexByte(elem, '/')
+				if idx >= 0 {
+					break
+				}
+				args[0] = elem
+				elem = ""
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ListUnknownOutcomesOperation
+						r.summary = ""
+						r.operationID = "listUnknownOutcomes"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/unknown_outcomes/{service}"
+						r.args = args
+						r.count = 1
+						return r, true
+					default:
+						return
+					}
+				}
+
 			}
 
 		}
--- a/internal/sdoperatorapi/oas_schemas_gen.go
+++ b/internal/sdoperatorapi/oas_schemas_gen.go
@@ -585,6 +585,140 @@
 	return d
 }
 
+// Ref: #/components/schemas/PoisonList
+type PoisonList struct {
+	Requests []PoisonRequest `json:"requests"`
+}
+
+// GetRequests returns the value of Requests.
+func (s *PoisonList) GetRequests() []PoisonRequest {
+	return s.Requests
+}
+
+// SetRequests sets the value of Requests.
+func (s *PoisonList) SetRequests(val []PoisonRequest) {
+	s.Requests = val
+}
+
+// Ref: #/components/schemas/PoisonRelease
+type PoisonRelease struct {
+	Fingerprint string `json:"fingerprint"`
+	// Nodes that have released the request.
+	Told        int      `json:"told"`
+	Unreachable []string `json:"unreachable"`
+}
+
+// GetFingerprint returns the value of Fingerprint.
+func (s *PoisonRelease) GetFingerprint() string {
+	return s.Fingerprint
+}
+
+// GetTold returns the value of Told.
+func (s *PoisonRelease) GetTold() int {
+	return s.Told
+}
+
+// GetUnreachable returns the value of Unreachable.
+func (s *PoisonRelease) GetUnreachable() []string {
+	return s.Unreachable
+}
+
+// SetFingerprint sets the value of Fingerprint.
+func (s *PoisonRelease) SetFingerprint(val string) {
+	s.Fingerprint = val
+}
+
+// SetTold sets the value of Told.
+func (s *PoisonRelease) SetTold(val int) {
+	s.Told = val
+}
+
+// SetUnreachable sets the value of Unreachable.
+func (s *PoisonRelease) SetUnreachable(val []string) {
+	s.Unreachable = val
+}
+
+// Ref: #/components/schemas/PoisonRequest
+type PoisonRequest struct {
+	Fingerprint string    `json:"fingerprint"`
+	Service     string    `json:"service"`
+	Method      string    `json:"method"`
+	Path        string    `json:"path"`
+	Crashes     int       `json:"crashes"`
+	Blocked     bool      `json:"blocked"`
+	Until       time.Time `json:"until"`
+}
+
+// GetFingerprint returns the value of Fingerprint.
+func (s *PoisonRequest) GetFingerprint() string {
+	return s.Fingerprint
+}
+
+// GetService returns the value of Service.
+func (s *PoisonRequest) GetService() string {
+	return s.Service
+}
+
+// GetMethod returns the value of Method.
+func (s *PoisonRequest) GetMethod() string {
+	return s.Method
+}
+
+// GetPath returns the value of Path.
+func (s *PoisonRequest) GetPath() string {
+	return s.Path
+}
+
+// GetCrashes returns the value of Crashes.
+func (s *PoisonRequest) GetCrashes() int {
+	return s.Crashes
+}
+
+// GetBlocked returns the value of Blocked.
+func (s *PoisonRequest) GetBlocked() bool {
+	return s.Blocked
+}
+
+// GetUntil returns the value of Until.
+func (s *PoisonRequest) GetUntil() time.Time {
+	return s.Until
+}
+
+// SetFingerprint sets the value of Fingerprint.
+func (s *PoisonRequest) SetFingerprint(val string) {
+	s.Fingerprint = val
+}
+
+// SetService sets the value of Service.
+func (s *PoisonRequest) SetService(val string) {
+	s.Service = val
+}
+
+// SetMethod sets the value of Method.
+func (s *PoisonRequest) SetMethod(val string) {
+	s.Method = val
+}
+
+// SetPath sets the value of Path.
+func (s *PoisonRequest) SetPath(val string) {
+	s.Path = val
+}
+
+// SetCrashes sets the value of Crashes.
+func (s *PoisonRequest) SetCrashes(val int) {
+	s.Crashes = val
+}
+
+// SetBlocked sets the value of Blocked.
+func (s *PoisonRequest) SetBlocked(val bool) {
+	s.Blocked = val
+}
+
+// SetUntil sets the value of Until.
+func (s *PoisonRequest) SetUntil(val time.Time) {
+	s.Until = val
+}
+
 // Ref: #/components/schemas/Policy
 type Policy struct {
 	Service    string      `json:"service"`
@@ -1036,3 +1170,134 @@
 func (s *Status) SetPlatformReachable(val OptBool) {
 	s.PlatformReachable = val
 }
+
+// Ref: #/components/schemas/UnknownOutcome
+type UnknownOutcome struct {
+	At        time.Time `json:"at"`
+	Service   string    `json:"service"`
+	Operation string    `json:"operation"`
+	Key       string    `json:"key"`
+	Caller    string    `json:"caller"`
+	RequestID string    `json:"request_id"`
+	Reason    string    `json:"reason"`
+	// The node that saw the outcome.
+	Node string `json:"node"`
+}
+
+// GetAt returns the value of At.
+func (s *UnknownOutcome) GetAt() time.Time {
+	return s.At
+}
+
+// GetService returns the value of Service.
+func (s *UnknownOutcome) GetService() string {
+	return s.Service
+}
+
+// GetOperation returns the value of Operation.
+func (s *UnknownOutcome) GetOperation() string {
+	return s.Operation
+}
+
+// GetKey returns the value of Key.
+func (s *UnknownOutcome) GetKey() string {
+	return s.Key
+}
+
+// GetCaller returns the value of Caller.
+func (s *UnknownOutcome) GetCaller() string {
+	return s.Caller
+}
+
+// GetRequestID returns the value of RequestID.
+func (s *UnknownOutcome) GetRequestID() string {
+	return s.RequestID
+}
+
+// GetReason returns the value of Reason.
+func (s *UnknownOutcome) GetReason() string {
+	return s.Reason
+}
+
+// GetNode returns the value of Node.
+func (s *UnknownOutcome) GetNode() string {
+	return s.Node
+}
+
+// SetAt sets the value of At.
+func (s *UnknownOutcome) SetAt(val time.Time) {
+	s.At = val
+}
+
+// SetService sets the value of Service.
+func (s *UnknownOutcome) SetService(val string) {
+	s.Service = val
+}
+
+// SetOperation sets the value of Operation.
+func (s *UnknownOutcome) SetOperation(val string) {
+	s.Operation = val
+}
+
+// SetKey sets the value of Key.
+func (s *UnknownOutcome) SetKey(val string) {
+	s.Key = val
+}
+
+// SetCaller sets the value of Caller.
+func (s *UnknownOutcome) SetCaller(val string) {
+	s.Caller = val
+}
+
+// SetRequestID sets the value of RequestID.
+func (s *UnknownOutcome) SetRequestID(val string) {
+	s.RequestID = val
+}
+
+// SetReason sets the value of Reason.
+func (s *UnknownOutcome) SetReason(val string) {
+	s.Reason = val
+}
+
+// SetNode sets the value of Node.
+func (s *UnknownOutcome) SetNode(val string) {
+	s.Node = val
+}
+
+// Ref: #/components/schemas/UnknownOutcomeList
+type UnknownOutcomeList struct {
+	Service string `json:"service"`
+	// False while the platform cannot be read: then only this node's own are listed.
+	Complete bool             `json:"complete"`
+	Outcomes []UnknownOutcome `json:"outcomes"`
+}
+
+// GetService returns the value of Service.
+func (s *UnknownOutcomeList) GetService() string {
+	return s.Service
+}
+
+// GetComplete returns the value of Complete.
+func (s *UnknownOutcomeList) GetComplete() bool {
+	return s.Complete
+}
+
+// GetOutcomes returns the value of Outcomes.
+func (s *UnknownOutcomeList) GetOutcomes() []UnknownOutcome {
+	return s.Outcomes
+}
+
+// SetService sets the value of Service.
+func (s *UnknownOutcomeList) SetService(val string) {
+	s.Service = val
+}
+
+// SetComplete sets the value of Complete.
+func (s *UnknownOutcomeList) SetComplete(val bool) {
+	s.Complete = val
+}
+
+// SetOutcomes sets the value of Outcomes.
+func (s *UnknownOutcomeList) SetOutcomes(val []UnknownOutcome) {
+	s.Outcomes = val
+}
--- a/internal/sdoperatorapi/oas_server_gen.go
+++ b/internal/sdoperatorapi/oas_server_gen.go
@@ -35,14 +35,32 @@
 	//
 	// GET /v1/nodes
 	ListNodes(ctx context.Context) (*NodeList, error)
+	// ListPoison implements listPoison operation.
+	//
+	// The requests that have crashed targets, as this node knows them.
+	//
+	// GET /v1/poison
+	ListPoison(ctx context.Context) (*PoisonList, error)
 	// ListPolicies implements listPolicies operation.
 	//
 	// GET /v1/policies
 	ListPolicies(ctx context.Context) (*PolicyList, error)
+	// ListUnknownOutcomes implements listUnknownOutcomes operation.
+	//
+	// The keyed calls of the last day that may have run and have no answer, the newest first.
+	//
+	// GET /v1/unknown_outcomes/{service}
+	ListUnknownOutcomes(ctx context.Context, params ListUnknownOutcomesParams) (*UnknownOutcomeList, error)
 	// PutPolicy implements putPolicy operation.
 	//
 	// PUT /v1/policies/{service}
 	PutPolicy(ctx context.Context, req *PolicyChange, params PutPolicyParams) (*PolicyRecord, error)
+	// ReleasePoison implements releasePoison operation.
+	//
+	// Lets a request run again at every node that can be reached.
+	//
+	// POST /v1/poison/{fingerprint}/release
+	ReleasePoison(ctx context.Context, params ReleasePoisonParams) (*PoisonRelease, error)
 	// WaitInForce implements waitInForce operation.
 	//
 	// Waits until every node that can be reached runs at least this version, or the wait ends.
--- a/internal/sdoperatorapi/oas_validators_gen.go
+++ b/internal/sdoperatorapi/oas_validators_gen.go
@@ -89,6 +89,52 @@
 	return nil
 }
 
+func (s *PoisonList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Requests == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "requests",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *PoisonRelease) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Unreachable == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "unreachable",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
 func (s *Policy) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
@@ -323,3 +369,26 @@
 	}
 	return nil
 }
+
+func (s *UnknownOutcomeList) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Outcomes == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "outcomes",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/internal/sdpoison/table.go
+++ b/internal/sdpoison/table.go
@@ -25,9 +25,6 @@
 	// SuspectFor is how long a crash counts, and how long after its release a
 	// request is blocked by one more crash.
 	SuspectFor = time.Hour
-	// oneCrash is the time within which reports of one target's crash are the
-	// same crash: all calls that ran on it report it.
-	oneCrash = time.Second
 	// maxEntries bounds the requests followed. Beyond it the one whose last
 	// crash is longest ago is forgotten.
 	maxEntries = 10_000
@@ -71,6 +68,9 @@
 	Path        string
 	// Node is the node of the target.
 	Node savorydeal.NodeID
+	// RanFor is how long the request had run. Requests that a crash has taken
+	// with it all began before it: it counts once.
+	RanFor time.Duration
 }
 
 // Entry is one request that is suspected or blocked.
@@ -120,7 +120,7 @@
 		t.entries[crash.Fingerprint] = known
 	}
 	last, seen := known.last[crash.Node]
-	if seen && now.Sub(last) < oneCrash {
+	if seen && !now.Add(-crash.RanFor).After(last) {
 		return false
 	}
 	if now.Sub(known.newest) > SuspectFor && known.crashes > 0 {
--- a/internal/sdpoison/table_test.go
+++ b/internal/sdpoison/table_test.go
@@ -36,6 +36,16 @@
 				t.Crashed(start, crashAt("a"))
 			}
 		}, 0, false},
+		{"one crash reported late", func(t *sdpoison.Table) {
+			t.Crashed(start, crashAt("a"))
+			late := crashAt("a")
+			late.RanFor = 3 * time.Second
+			t.Crashed(start.Add(2*time.Second), late)
+		}, 2 * time.Second, false},
+		{"the same target, crashed again at once", func(t *sdpoison.Table) {
+			t.Crashed(start, crashAt("a"))
+			t.Crashed(start.Add(20*time.Millisecond), crashAt("a"))
+		}, 20 * time.Millisecond, true},
 		{"the same target, restarted", func(t *sdpoison.Table) {
 			t.Crashed(start, crashAt("a"))
 			t.Crashed(start.Add(5*time.Second), crashAt("a"))
--- a/internal/sdrelay/relay.go
+++ b/internal/sdrelay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdbody"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
 	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 )
 
 // failedStatus is the least status that counts against a target.
@@ -29,6 +30,8 @@
 	RetryRatio func(service string) float64
 	// NewTryID returns an identifier that is never used twice.
 	NewTryID func() string
+	// Poison tells which requests must not run; nil blocks none.
+	Poison *sdpoison.Table
 }
 
 var _ savorydeal.Carrier = (*Relay)(nil)
@@ -63,6 +66,9 @@
 	if length, ok := kept.Length(); ok {
 		call.ContentLength = length
 	}
+	if r.Poison != nil {
+		call.Fingerprint = uint64(sdpoison.FingerprintOf(call, kept.Start()))
+	}
 	j := &journey{
 		relay:    r,
 		call:     call,
@@ -103,6 +109,9 @@
 		return 0, false
 	}
 	now := j.relay.Clock.Now()
+	if j.blocked(now) != nil {
+		return 0, false
+	}
 	decision := j.relay.Retries.Decide(now, savorydeal.RetryAsk{
 		Service:    j.call.Service,
 		Class:      j.call.Chain.Class,
@@ -156,6 +165,9 @@
 	if left <= 0 {
 		return savorydeal.Answer{}, notRun(savorydeal.ReasonDeadline, "the deadline passed before a target was tried")
 	}
+	if refusal := j.blocked(now); refusal != nil {
+		return savorydeal.Answer{}, refusal
+	}
 	member, ok := j.relay.Placement.Choose(now, savorydeal.PlacementRequest{
 		Service: j.call.Service,
 		Tried:   j.tried,
@@ -188,6 +200,32 @@
 	return &savorydeal.Refusal{Outcome: savorydeal.OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
+// blocked returns the refusal of a request that crashes its targets.
+func (j *journey) blocked(now time.Time) *savorydeal.Refusal {
+	if j.relay.Poison == nil {
+		return nil
+	}
+	return j.relay.Poison.Check(now, sdpoison.Fingerprint(j.call.Fingerprint))
+}
+
+// noteCrash keeps the word that came back on a refusal, so that the next try
+// through this node meets it.
+func (a *attempt) noteCrash(refusal *savorydeal.Refusal) {
+	j := a.journey
+	if j.relay.Poison == nil || refusal.Reason != savorydeal.ReasonTargetCrashed {
+		return
+	}
+	now := j.relay.Clock.Now()
+	j.relay.Poison.Crashed(now, sdpoison.Crash{
+		Fingerprint: sdpoison.Fingerprint(j.call.Fingerprint),
+		Service:     j.call.Service,
+		Method:      j.call.Method,
+		Path:        j.call.Path,
+		Node:        a.member.Node,
+		RanFor:      now.Sub(a.started),
+	})
+}
+
 // attempt is one try at one target.
 type attempt struct {
 	journey *journey
@@ -206,6 +244,7 @@
 			Detail:  err.Error(),
 		}
 	}
+	a.noteCrash(refusal)
 	// A target that was only busy has not failed.
 	if refusal.Outcome == savorydeal.OutcomeUnknown {
 		a.journey.unknownTries++
--- a/internal/sdretry/retry.go
+++ b/internal/sdretry/retry.go
@@ -86,7 +86,7 @@
 func mayHelp(reason savorydeal.Reason) bool {
 	switch reason {
 	case savorydeal.ReasonNoTarget, savorydeal.ReasonTargetLeaving, savorydeal.ReasonLinkLost,
-		savorydeal.ReasonTargetFailed, savorydeal.ReasonTargetRefused, savorydeal.ReasonStopping,
+		savorydeal.ReasonTargetFailed, savorydeal.ReasonTargetCrashed, savorydeal.ReasonTargetRefused, savorydeal.ReasonStopping,
 		savorydeal.ReasonWrongNode, savorydeal.ReasonQueueFull, savorydeal.ReasonEvicted,
 		savorydeal.ReasonOverloaded:
 		return true
--- a/internal/sdrig/keyed_test.go
+++ b/internal/sdrig/keyed_test.go
@@ -194,6 +194,7 @@
 		target.SetHandler(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write([]byte(strings.Repeat("x", 50)))
+			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		})
 	}
--- a/internal/sdserve/server.go
+++ b/internal/sdserve/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/savorydeal/savorydeal"
@@ -22,6 +23,8 @@
 	admitter *Admitter
 	chains   *sdchain.Table
 	target   *targetClient
+	poison   PoisonWatch
+	wasted   atomic.Int64
 }
 
 var _ savorydeal.Carrier = (*Server)(nil)
@@ -84,9 +87,14 @@
 		_ = body.Close()
 		return savorydeal.Answer{}, e.refuse(refusal, savorydeal.RunCanceled)
 	}
+	if refusal := e.server.poison.check(e.server.clock.Now(), e.call); refusal != nil {
+		_ = body.Close()
+		return savorydeal.Answer{}, e.refuse(refusal, savorydeal.RunCanceled)
+	}
 	checkDispatch(gate)
 	response, refusal := e.server.target.do(ctx, gate.Address, e.handle, e.call, body, e.state.Deadline)
 	if refusal != nil {
+		e.noteFailure(refusal.Reason)
 		return savorydeal.Answer{}, e.refuse(refusal, resultOf(refusal.Reason))
 	}
 	if e.targetRefused(response) {
@@ -106,7 +114,7 @@
 		Status:        response.StatusCode,
 		Headers:       sdheader.Passed(response.Header),
 		ContentLength: response.ContentLength,
-		Body:          &answerBody{ReadCloser: response.Body, execution: e, status: response.StatusCode, end: end},
+		Body:          &answerBody{ReadCloser: response.Body, execution: e, ctx: ctx, status: response.StatusCode, end: end},
 		End:           end,
 	}, nil
 }
@@ -160,6 +168,7 @@
 type answerBody struct {
 	io.ReadCloser
 	execution *execution
+	ctx       context.Context
 	status    int
 	end       *savorydeal.AnswerEnd
 }
@@ -169,8 +178,10 @@
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
+		b.execution.server.poison.succeeded(b.execution.call)
 		*b.end = b.execution.finish(resultOfStatus(b.status))
 	case err != nil:
+		b.execution.noteBroken(b.ctx)
 		*b.end = b.execution.finish(savorydeal.RunFailed)
 	}
 	return n, err
--- a/internal/sdserve/target.go
+++ b/internal/sdserve/target.go
@@ -65,9 +65,13 @@
 	if !connected.Load() {
 		return nil, notRun(failureReason(ctx), fmt.Sprintf("the target cannot be reached: %v", err))
 	}
+	reason := failureReason(ctx)
+	if reason == savorydeal.ReasonTargetFailed {
+		reason = savorydeal.ReasonTargetCrashed
+	}
 	return nil, &savorydeal.Refusal{
 		Outcome: savorydeal.OutcomeUnknown,
-		Reason:  failureReason(ctx),
+		Reason:  reason,
 		Detail:  fmt.Sprintf("the target gave no answer: %v", err),
 	}
 }
--- a/internal/sdwire/codec.go
+++ b/internal/sdwire/codec.go
@@ -22,6 +22,7 @@
 		Chain:         encodeChain(call.Chain),
 		TimeoutNs:     int64(call.Timeout),
 		PolicyVersion: call.PolicyVersion,
+		Fingerprint:   call.Fingerprint,
 	}
 }
 
@@ -39,6 +40,7 @@
 		Chain:         decodeChain(head.GetChain()),
 		Timeout:       time.Duration(head.GetTimeoutNs()),
 		PolicyVersion: head.GetPolicyVersion(),
+		Fingerprint:   head.GetFingerprint(),
 		KeyRetention:  time.Duration(head.GetOperation().GetKeyRetentionNs()),
 	}
 	copy(call.BodyDigest[:], head.GetBodyDigest())
--- a/outcome.go
+++ b/outcome.go
@@ -41,6 +41,7 @@
 	ReasonCanceled        Reason = "canceled"
 	ReasonPoison          Reason = "poison"
 	ReasonLinkLost        Reason = "link_lost"
+	ReasonTargetCrashed   Reason = "target_crashed"
 	ReasonTargetFailed    Reason = "target_failed"
 	ReasonTargetRefused   Reason = "target_refused"
 	ReasonStopping        Reason = "stopping"
