--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -127,6 +127,7 @@
 		section("policies", policies),
 		section("target", target),
 		section("keys", n.dumpKeys()),
+		section("runs", runsDump{Wasted: n.server.Wasted()}),
 		section("poison", dumpPoison(n.Poison())),
 		section("unknown_outcomes", n.dumpUnknown()),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
--- a/internal/sdnode/dumptruth.go
+++ b/internal/sdnode/dumptruth.go
@@ -14,6 +14,12 @@
 	Frozen     bool `json:"frozen"`
 }
 
+// runsDump is the dump of the runs on this VM's target.
+type runsDump struct {
+	// Wasted counts runs that ended after their caller had gone.
+	Wasted int64 `json:"wasted"`
+}
+
 func (n *Node) dumpKeys() keysDump {
 	return keysDump{
 		Held:       n.owner.Held(),
