--- a/internal/sdcli/policy.go
+++ b/internal/sdcli/policy.go
@@ -190,11 +190,11 @@
 		if err != nil {
 			return err
 		}
-		done := len(seen.Lagging) == 0
+		done := seen.LaggingCount.Or(0) == 0
 		if done || !time.Now().Before(end) {
 			return c.finishWait(seen)
 		}
-		_, _ = fmt.Fprintf(c.stderr, "in force at %d nodes, %d lagging, %d unreachable\n", seen.InForce, len(seen.Lagging), len(seen.Unreachable))
+		_, _ = fmt.Fprintf(c.stderr, "in force at %d nodes, %d lagging, %d unreachable\n", seen.InForce, seen.LaggingCount.Or(0), seen.UnreachableCount.Or(0))
 	}
 }
 
@@ -226,10 +226,10 @@
 		}
 	} else {
 		_, _ = fmt.Fprintf(c.stdout, "%s version %d: in force at %d nodes, %d lagging, %d unreachable\n",
-			seen.Service, seen.Version, seen.InForce, len(seen.Lagging), len(seen.Unreachable))
+			seen.Service, seen.Version, seen.InForce, seen.LaggingCount.Or(0), seen.UnreachableCount.Or(0))
 	}
-	if len(seen.Lagging) > 0 {
-		return &laggingError{lagging: len(seen.Lagging)}
+	if seen.LaggingCount.Or(0) > 0 {
+		return &laggingError{lagging: seen.LaggingCount.Or(0)}
 	}
 	return nil
 }
--- a/internal/sdconfig/store_test.go
+++ b/internal/sdconfig/store_test.go
@@ -54,7 +54,7 @@
 			is := is.New(t)
 			store := sdconfig.NewStore(decode)
 			store.Apply(test.objects)
-			entry, ok := store.Entry("orders")
+			entry, ok := store.Entry(sdconfig.Key{Name: "orders"})
 			is.True(ok)
 			is.Equal(entry.Newest.Version, test.newest)
 			is.Equal(entry.InForce.Version, test.inForce)
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 )
 
@@ -72,6 +73,7 @@
 
 // policyDump is the dump of one policy.
 type policyDump struct {
+	Kind           string `json:"kind"`
 	Service        string `json:"service"`
 	NewestVersion  int64  `json:"newest_version"`
 	InForceVersion int64  `json:"in_force_version"`
@@ -105,11 +107,12 @@
 			members = append(members, dumpMember(member))
 		}
 		for _, object := range c.store.Objects() {
-			entry, _ := c.store.Entry(object.Name)
+			entry, _ := c.store.Entry(sdconfig.KeyOf(object))
 			policies = append(policies, policyDump{
+				Kind:           object.Kind,
 				Service:        object.Name,
 				NewestVersion:  entry.Newest.Version,
-				InForceVersion: entry.InForce.Version,
+				InForceVersion: entry.Readable.Version,
 				Rejected:       entry.Rejected,
 			})
 		}
@@ -122,6 +125,7 @@
 		section("members", members),
 		section("policies", policies),
 		section("target", target),
+		section("leases", describeLeases(n.clock.Now(), n.fleet.leases.Load())),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
 	}
 }
--- a/internal/sdnode/control.go
+++ b/internal/sdnode/control.go
@@ -15,10 +15,20 @@
 // control is the state that one goroutine owns. Traffic reads what it
 // publishes and never waits for it.
 type control struct {
-	roster   *sdroster.Roster
-	store    *sdconfig.Store
-	lease    *sdannounce.Lease
-	stopping bool
+	roster    *sdroster.Roster
+	store     *sdconfig.Store
+	spread    *sdconfig.Spread
+	reporter  sdconfig.Reporter
+	collector *sdconfig.Collector
+	// collectors are those of the own data centre, by slot.
+	collectors [sdconfig.SlotsPerDataCentre]savorydeal.NodeID
+	queries    map[uint64]chan<- sdconfig.Answer
+	sequence   uint64
+	lease      *sdannounce.Lease
+	stopping   bool
+	// publishedAt is when the view was last published.
+	publishedAt time.Time
+	routable    string
 	// platformReachable is the result of the last call.
 	platformReachable bool
 }
@@ -58,7 +68,7 @@
 		case event := <-n.events:
 			event(c)
 		case <-tick:
-			n.tick(ctx, c)
+			n.tick(c)
 			tick = n.clock.After(sdroster.TickInterval)
 		case <-ctx.Done():
 			return nil
@@ -66,14 +76,16 @@
 	}
 }
 
-func (n *Node) tick(ctx context.Context, c *control) {
+// tick advances every decision of control by one interval.
+func (n *Node) tick(c *control) {
+	now := n.clock.Now()
 	n.publishTarget(c)
-	sends := c.roster.Tick(n.clock.Now())
+	n.takeUse(now, c)
+	n.sendMembership(c, c.roster.Tick(now))
+	n.sendConfig(c, c.spread.Tick(now))
 	n.publishMembers(c)
-	message := n.exchangeMessage(c)
-	for _, send := range sends {
-		go n.exchange(ctx, send.Address, message)
-	}
+	c.collector.Expire(now)
+	n.report(now, c)
 }
 
 func (n *Node) publishAll(c *control) {
@@ -97,16 +109,11 @@
 	})
 	self := c.roster.Self()
 	if self.Service != announcement.Service || self.TargetState != state || self.Slots != announcement.Slots {
-		c.roster.SetTarget(announcement.Service, state, announcement.Slots, c.lease.ReadySince())
+		packets := c.roster.SetTarget(now, announcement.Service, state, announcement.Slots, c.lease.ReadySince())
+		n.sendMembership(c, packets)
 	}
 }
 
-func (n *Node) publishMembers(c *control) {
-	members := c.roster.Members()
-	n.members.Store(&members)
-	n.placement.Update(n.clock.Now(), members)
-}
-
 func (n *Node) publishPolicies(c *control) {
 	n.policies.Store(sdpolicy.NewTable(c.store.InForce()))
 	n.rejected.Store(int64(c.store.Rejected()))
@@ -129,17 +136,21 @@
 // apply takes policy objects from the platform or another node, and passes on
 // those that are new.
 func (n *Node) apply(ctx context.Context, objects []savorydeal.Object) {
-	_ = n.do(ctx, func(c *control) {
-		applied := c.store.Apply(objects)
-		if len(applied) == 0 {
-			return
-		}
-		n.publishPolicies(c)
-		for _, object := range applied {
-			n.log.Info("policy taken", "service", object.Name, "version", object.Version, "deleted", object.Deleted)
-		}
-		n.spread(ctx, c, applied)
-	})
+	_ = n.do(ctx, func(c *control) { n.applyNow(c, objects) })
+}
+
+func (n *Node) applyNow(c *control, objects []savorydeal.Object) {
+	now := n.clock.Now()
+	applied, packets := c.spread.Apply(now, objects)
+	if len(applied) == 0 {
+		return
+	}
+	n.publishPolicies(c)
+	for _, object := range applied {
+		n.log.Info("object taken", "kind", object.Kind, "name", object.Name, "version", object.Version, "deleted", object.Deleted)
+	}
+	n.sendConfig(c, packets)
+	n.report(now, c)
 }
 
 // beginStop closes the gate and tells the others.
@@ -147,42 +158,11 @@
 	_ = n.do(ctx, func(c *control) {
 		c.stopping = true
 		n.publishTarget(c)
-		c.roster.Leave()
+		n.sendMembership(c, c.roster.Leave(n.clock.Now()))
 		n.publishMembers(c)
-		message := n.exchangeMessage(c)
-		for _, member := range c.roster.Members() {
-			if member.State == savorydeal.MemberAlive {
-				go n.exchange(ctx, member.PeerAddress, message)
-			}
-		}
 	})
 }
 
-// watchInterval is the longest wait of one watch.
-const (
-	watchInterval = 20 * time.Second
-	watchBackoff  = time.Second
-)
-
-// runWatch keeps the policies up to date from the platform.
-func (n *Node) runWatch(ctx context.Context, platform savorydeal.Platform, kind string) error {
-	var revision int64
-	for ctx.Err() == nil {
-		list, err := platform.Watch(ctx, kind, revision, watchInterval)
-		n.setPlatformReachable(ctx, err == nil)
-		if err != nil {
-			select {
-			case <-n.clock.After(watchBackoff):
-			case <-ctx.Done():
-			}
-			continue
-		}
-		n.apply(ctx, list.Objects)
-		revision = max(revision, list.Revision)
-	}
-	return nil
-}
-
 func (n *Node) setPlatformReachable(ctx context.Context, reachable bool) {
 	_ = n.do(ctx, func(c *control) {
 		if c.platformReachable != reachable {
--- a/internal/sdnode/exchange.go
+++ b/internal/sdnode/exchange.go
@@ -2,65 +2,86 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdconfig"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
-	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
-	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdwire"
 )
 
 const (
 	exchangeTimeout = time.Second
-	// spreadFanOut is the number of nodes a new policy is pushed to at once.
-	spreadFanOut   = 4
-	inForceWorkers = 16
+	// joinTimeout bounds the exchange of whole views.
+	joinTimeout = 5 * time.Second
+	// membersPerMessage and objectBytesPerMessage keep messages well below the
+	// bound of a link.
+	membersPerMessage     = 1000
+	objectBytesPerMessage = 256 << 10
 )
 
-// exchangeMessage is this node's view of members and the digest of its
-// policies.
-func (n *Node) exchangeMessage(c *control) *sdpeerpb.ControlMessage {
+// membersMessages are this node's view in messages of bounded size.
+func (n *Node) membersMessages(c *control) []*sdpeerpb.ControlMessage {
 	now := n.clock.Now()
+	var messages []*sdpeerpb.ControlMessage
 	members := &sdpeerpb.Members{PolicyDigest: c.store.Digest()}
+	flush := func() {
+		messages = append(messages, &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_Members{Members: members}})
+	}
 	for _, member := range c.roster.Members() {
+		if len(members.GetMembers()) == membersPerMessage {
+			flush()
+			members = &sdpeerpb.Members{PolicyDigest: c.store.Digest()}
+		}
 		members.Members = append(members.Members, sdwire.EncodeMember(member, now))
 	}
-	return &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_Members{Members: members}}
+	flush()
+	return messages
 }
 
-func policiesMessage(objects []savorydeal.Object) *sdpeerpb.ControlMessage {
-	policies := &sdpeerpb.Policies{}
-	for _, object := range objects {
-		policies.Policies = append(policies.Policies, &sdpeerpb.Policy{
-			Service: object.Name,
-			Version: object.Version,
-			Deleted: object.Deleted,
-			Value:   object.Value,
-		})
+// objectsMessages are objects in messages of bounded size.
+func objectsMessages(objects []savorydeal.Object) []*sdpeerpb.ControlMessage {
+	var messages []*sdpeerpb.ControlMessage
+	for len(objects) > 0 {
+		count, size := 0, 0
+		for count < len(objects) && (count == 0 || size+len(objects[count].Value) < objectBytesPerMessage) {
+			size += len(objects[count].Value)
+			count++
+		}
+		messages = append(messages, &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_Policies{
+			Policies: &sdpeerpb.Policies{Policies: sdgossip.EncodeObjects(objects[:count])},
+		}})
+		objects = objects[count:]
 	}
-	return &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_Policies{Policies: policies}}
+	return messages
 }
 
-func decodePolicies(policies *sdpeerpb.Policies) []savorydeal.Object {
-	objects := make([]savorydeal.Object, 0, len(policies.GetPolicies()))
-	for _, policy := range policies.GetPolicies() {
-		objects = append(objects, savorydeal.Object{
-			Kind:    sdrecord.KindPolicy,
-			Name:    policy.GetService(),
-			Version: policy.GetVersion(),
-			Deleted: policy.GetDeleted(),
-			Value:   policy.GetValue(),
-		})
+// join exchanges whole views and configuration with a node.
+func (n *Node) join(ctx context.Context, address string) {
+	var messages []*sdpeerpb.ControlMessage
+	_ = n.do(ctx, func(c *control) { messages = n.membersMessages(c)[:1] })
+	for _, message := range messages {
+		n.exchange(ctx, address, message, joinTimeout)
 	}
-	return objects
+}
+
+// fetch fetches objects from a node.
+func (n *Node) fetch(ctx context.Context, address string, items []sdconfig.Item) {
+	fetch := &sdpeerpb.ConfigFetch{}
+	for _, item := range items {
+		fetch.Objects = append(fetch.Objects, &sdpeerpb.ObjectName{Kind: item.Key.Kind, Name: item.Key.Name})
+	}
+	message := &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_ConfigFetch{ConfigFetch: fetch}}
+	n.exchange(ctx, address, message, exchangeTimeout)
 }
 
 // exchange sends a message to a node and takes its answers.
-func (n *Node) exchange(ctx context.Context, address string, message *sdpeerpb.ControlMessage) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+func (n *Node) exchange(ctx context.Context, address string, message *sdpeerpb.ControlMessage, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stream, err := n.links.Open(ctx, address, sdlink.KindControl)
 	if err != nil {
@@ -68,10 +89,11 @@
 		return
 	}
 	defer stream.Abort()
-	_ = stream.SetReadDeadline(time.Now().Add(exchangeTimeout))
+	_ = stream.SetReadDeadline(time.Now().Add(timeout))
 	if err := stream.Send(message); err != nil {
 		return
 	}
+	n.fleet.linkBytes.Add(int64(proto.Size(message)))
 	if err := stream.ReadOpen(); err != nil {
 		n.log.Debug("exchange failed", "peer", address, "error", err)
 		return
@@ -81,6 +103,7 @@
 		if err := stream.Read(&reply); err != nil {
 			return
 		}
+		n.fleet.linkBytes.Add(int64(proto.Size(&reply)))
 		n.take(ctx, &reply)
 	}
 }
@@ -92,7 +115,9 @@
 	if err := stream.Read(&message); err != nil {
 		return
 	}
+	n.fleet.linkBytes.Add(int64(proto.Size(&message)))
 	for _, reply := range n.take(ctx, &message) {
+		n.fleet.linkBytes.Add(int64(proto.Size(reply)))
 		if err := stream.Write(reply); err != nil {
 			return
 		}
@@ -105,9 +130,9 @@
 	case *sdpeerpb.ControlMessage_Members:
 		return n.takeMembers(ctx, kind.Members)
 	case *sdpeerpb.ControlMessage_Policies:
-		n.apply(ctx, decodePolicies(kind.Policies))
-	case *sdpeerpb.ControlMessage_ConfigQuery:
-		return []*sdpeerpb.ControlMessage{n.configReply(ctx, kind.ConfigQuery)}
+		n.apply(ctx, sdgossip.DecodeObjects(kind.Policies.GetPolicies()))
+	case *sdpeerpb.ControlMessage_ConfigFetch:
+		return n.giveObjects(ctx, kind.ConfigFetch)
 	}
 	return nil
 }
@@ -120,103 +145,24 @@
 		for _, member := range members.GetMembers() {
 			decoded = append(decoded, sdwire.DecodeMember(member, now))
 		}
-		if c.roster.Merge(now, decoded) {
-			n.publishMembers(c)
-		}
-		replies = append(replies, n.exchangeMessage(c))
+		c.roster.Merge(now, decoded)
+		n.publishMembers(c)
+		replies = n.membersMessages(c)
 		if members.GetPolicyDigest() != c.store.Digest() {
-			replies = append(replies, policiesMessage(c.store.Objects()))
+			replies = append(replies, objectsMessages(c.store.Objects())...)
 		}
 	})
 	return replies
 }
 
-// spread pushes new policies to a few nodes at once. Nodes that it misses
-// learn of them by the digest in their next exchange.
-func (n *Node) spread(ctx context.Context, c *control, objects []savorydeal.Object) {
-	message := policiesMessage(objects)
-	members := c.roster.Members()[1:]
-	n.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	sent := 0
-	for _, member := range members {
-		if member.State != savorydeal.MemberAlive {
-			continue
-		}
-		go n.exchange(ctx, member.PeerAddress, message)
-		sent++
-		if sent == spreadFanOut {
-			return
-		}
-	}
-}
-
-func (n *Node) configReply(ctx context.Context, query *sdpeerpb.ConfigQuery) *sdpeerpb.ControlMessage {
-	reply := &sdpeerpb.ConfigReply{}
+func (n *Node) giveObjects(ctx context.Context, fetch *sdpeerpb.ConfigFetch) []*sdpeerpb.ControlMessage {
+	var objects []savorydeal.Object
 	_ = n.do(ctx, func(c *control) {
-		entry, ok := c.store.Entry(query.GetService())
-		if ok {
-			reply.Version = entry.InForce.Version
-			reply.Rejected = entry.Rejected != ""
+		for _, name := range fetch.GetObjects() {
+			if entry, ok := c.store.Entry(sdconfig.Key{Kind: name.GetKind(), Name: name.GetName()}); ok {
+				objects = append(objects, entry.Newest)
+			}
 		}
 	})
-	return &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_ConfigReply{ConfigReply: reply}}
-}
-
-// InForce asks every node that is alive which version it runs.
-func (n *Node) InForce(ctx context.Context, service string, version int64) sdoperator.InForce {
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	var seen sdoperator.InForce
-	slots := make(chan struct{}, inForceWorkers)
-	for _, member := range n.Members() {
-		if member.State != savorydeal.MemberAlive {
-			continue
-		}
-		wait.Add(1)
-		slots <- struct{}{}
-		go func() {
-			defer wait.Done()
-			defer func() { <-slots }()
-			runs, ok := n.askVersion(ctx, member, service)
-			mu.Lock()
-			defer mu.Unlock()
-			switch {
-			case !ok:
-				seen.Unreachable = append(seen.Unreachable, member.Node)
-			case runs >= version:
-				seen.InForce++
-			default:
-				seen.Lagging = append(seen.Lagging, member.Node)
-			}
-		}()
-	}
-	wait.Wait()
-	return seen
-}
-
-func (n *Node) askVersion(ctx context.Context, member savorydeal.Member, service string) (int64, bool) {
-	query := &sdpeerpb.ConfigQuery{Service: service}
-	if member.Node == n.self {
-		return n.configReply(ctx, query).GetConfigReply().GetVersion(), true
-	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	stream, err := n.links.Open(ctx, member.PeerAddress, sdlink.KindControl)
-	if err != nil {
-		return 0, false
-	}
-	defer stream.Abort()
-	_ = stream.SetReadDeadline(time.Now().Add(exchangeTimeout))
-	message := &sdpeerpb.ControlMessage{Message: &sdpeerpb.ControlMessage_ConfigQuery{ConfigQuery: query}}
-	if err := stream.Send(message); err != nil {
-		return 0, false
-	}
-	if err := stream.ReadOpen(); err != nil {
-		return 0, false
-	}
-	var reply sdpeerpb.ControlMessage
-	if err := stream.Read(&reply); err != nil || reply.GetConfigReply() == nil {
-		return 0, false
-	}
-	return reply.GetConfigReply().GetVersion(), true
+	return objectsMessages(objects)
 }
--- /dev/null
+++ b/internal/sdnode/fleet_test.go
@@ -0,0 +1,119 @@
+package sdnode_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdrig"
+	"github.com/savorydeal/savorydeal/internal/sdstandplatform"
+)
+
+// waitBound is generous: a condition that never comes fails, a slow machine
+// does not.
+const waitBound = 60 * time.Second
+
+func policy(service string) sdoperatorapi.Policy {
+	return sdoperatorapi.Policy{Service: service, Operations: []sdoperatorapi.Operation{{
+		Name: "look_up", Methods: []string{"GET"}, PathPrefix: "/", Class: "normal", Idempotent: true,
+	}}}
+}
+
+func startNodes(ctx context.Context, t *testing.T, rig *sdrig.Rig, count int) []*sdrig.Node {
+	t.Helper()
+	is := is.New(t)
+	var nodes []*sdrig.Node
+	for i := range count {
+		node, err := rig.StartNode(sdrig.NodeSpec{DataCentre: []string{"dc1", "dc2"}[i%2], Region: "r1"})
+		is.NoErr(err)
+		nodes = append(nodes, node)
+	}
+	for _, node := range nodes {
+		is.NoErr(node.Ready(ctx))
+	}
+	return nodes
+}
+
+func expectAlive(ctx context.Context, t *testing.T, node *sdrig.Node, count int) {
+	t.Helper()
+	err := sdrig.WaitUntil(ctx, func() bool {
+		status, err := node.Operators.GetStatus(ctx)
+		return err == nil && status.NodesAlive == count
+	})
+	if err != nil {
+		t.Fatalf("%s does not hold %d nodes alive: %v", node.Host(), count, err)
+	}
+}
+
+// expectInForce waits until a query through the node finds the version in
+// force at count nodes and none lagging or unreachable.
+func expectInForce(ctx context.Context, t *testing.T, node *sdrig.Node, service string, version int64, count int) {
+	t.Helper()
+	var seen *sdoperatorapi.InForce
+	err := sdrig.WaitUntil(ctx, func() bool {
+		var err error
+		seen, err = node.Operators.WaitInForce(ctx, sdoperatorapi.WaitInForceParams{Service: service, Version: version, WaitMs: 1000})
+		return err == nil && seen.InForce == count && seen.LaggingCount.Value == 0 && seen.UnreachableCount.Value == 0
+	})
+	if err != nil {
+		t.Fatalf("version %d of %s is not in force at %d nodes: %+v", version, service, count, seen)
+	}
+}
+
+// A change is in force at every node and a query says so; a node that starts
+// while the platform is down joins and takes the policies from its peers.
+func TestChangeIsInForceAndANodeStartsWithThePlatformDown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	rig, err := sdrig.New(sdrig.Discard())
+	is.NoErr(err)
+	defer rig.Close()
+	nodes := startNodes(ctx, t, rig, 6)
+	for _, node := range nodes {
+		expectAlive(ctx, t, node, 6)
+	}
+	version, err := rig.PutPolicy(ctx, nodes[3], policy("orders"), 0, "change-0001")
+	is.NoErr(err)
+	expectInForce(ctx, t, nodes[1], "orders", version, 6)
+
+	rig.Platform.SetFaults(sdstandplatform.Faults{Down: true})
+	late := startNodes(ctx, t, rig, 1)[0]
+	expectAlive(ctx, t, late, 7)
+	expectInForce(ctx, t, late, "orders", version, 7)
+	is.True(rig.Platform.Faults().Down)
+
+	is.NoErr(late.Stop())
+	expectAlive(ctx, t, nodes[0], 6)
+}
+
+// Of many nodes only the watchers call the platform.
+func TestOnlyWatchersCallThePlatform(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), waitBound)
+	defer cancel()
+	rig, err := sdrig.New(sdrig.Discard())
+	is.NoErr(err)
+	defer rig.Close()
+	nodes := startNodes(ctx, t, rig, 12)
+	for _, node := range nodes {
+		expectAlive(ctx, t, node, 12)
+	}
+	watchers := func() int {
+		count := 0
+		for _, node := range nodes {
+			if node.Inside.PlatformRank() >= 0 {
+				count++
+			}
+		}
+		return count
+	}
+	is.NoErr(sdrig.WaitUntil(ctx, func() bool { return watchers() == 4 }))
+	// A change that comes from the platform alone reaches all through them.
+	version, err := rig.PutPolicy(ctx, nodes[0], policy("orders"), 0, "change-0001")
+	is.NoErr(err)
+	expectInForce(ctx, t, nodes[11], "orders", version, 12)
+}
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -18,10 +18,8 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdadmission"
-	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdcarrier"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
-	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
 	"github.com/savorydeal/savorydeal/internal/sdkeys"
@@ -30,10 +28,8 @@
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
-	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
 	"github.com/savorydeal/savorydeal/internal/sdretry"
-	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
 )
@@ -50,6 +46,7 @@
 	log        hclog.Logger
 	self       savorydeal.NodeID
 	generation uint64
+	randomMu   sync.Mutex
 	random     *rand.Rand
 
 	events    chan controlEvent
@@ -58,6 +55,7 @@
 	members   atomic.Pointer[[]savorydeal.Member]
 	rejected  atomic.Int64
 	reachable atomic.Bool
+	fleet     fleet
 
 	links     *sdlink.Links
 	placement *sdplacement.Chooser
@@ -90,20 +88,19 @@
 		metrics:    sdmetrics.New(),
 		ids:        newIdentifiers(),
 	}
-	n.control = control{
-		roster: sdroster.New(n.member(), settings.MeetingPoints, n.newRandom()),
-		store:  sdconfig.NewStore(sdrecord.DecodeValue),
-		lease:  sdannounce.NewLease(),
-	}
+	n.control = n.newControl()
 	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
 	n.wireTraffic()
 	n.registerGauges()
+	n.registerFleetGauges()
 	return n
 }
 
 // newRandom returns a source of its own for one decision, since sources are
 // not safe for concurrent use.
 func (n *Node) newRandom() *rand.Rand {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
 	return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
 }
 
@@ -128,7 +125,7 @@
 	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
-		Placement:  n.placement,
+		Placement:  leasedPlacement{Placement: n.placement, use: &n.fleet.use, leases: n.fleet.leases.Load},
 		Retries:    sdretry.New(n.newRandom()),
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
@@ -85,12 +86,18 @@
 		announce: newHTTPServer(announce),
 		admin:    newHTTPServer(n.adminHandler(operators)),
 	}
+	if n.fleet.socket, err = sdgossip.Listen(n.settings.PeerAddress, n.settings.TestLoss); err != nil {
+		return err
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 
 	var group run.Group
 	group.Add(func() error { return n.runControl(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.runWatch(background, platform, sdrecord.KindPolicy) }, func(error) { cancel() })
+	group.Add(func() error { return n.runGossip(background) }, func(error) { cancel() })
+	group.Add(func() error { return n.runJoin(background, platform) }, func(error) { cancel() })
+	group.Add(func() error { return n.runMeetingPoints(background, platform) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
 	addServer(&group, servers.caller, l.caller)
 	addServer(&group, servers.onward, l.onward)
--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -27,7 +27,10 @@
 
 // InForce says which nodes run a version of a policy.
 type InForce struct {
-	InForce     int
+	InForce          int
+	LaggingCount     int
+	UnreachableCount int
+	// Lagging and Unreachable name the first of them.
 	Lagging     []savorydeal.NodeID
 	Unreachable []savorydeal.NodeID
 }
@@ -159,14 +162,14 @@
 	return &record, nil
 }
 
-const inForcePoll = 100 * time.Millisecond
+const inForcePoll = 250 * time.Millisecond
 
 // WaitInForce waits until a version is in force.
 func (s *Server) WaitInForce(ctx context.Context, params sdoperatorapi.WaitInForceParams) (*sdoperatorapi.InForce, error) {
 	end := s.clock.Now().Add(time.Duration(params.WaitMs) * time.Millisecond)
 	for {
 		seen := s.node.InForce(ctx, params.Service, params.Version)
-		if len(seen.Lagging) == 0 || !s.clock.Now().Before(end) {
+		if seen.LaggingCount == 0 || !s.clock.Now().Before(end) {
 			return inForceToAPI(params, seen), nil
 		}
 		select {
@@ -179,11 +182,14 @@
 
 func inForceToAPI(params sdoperatorapi.WaitInForceParams, seen InForce) *sdoperatorapi.InForce {
 	return &sdoperatorapi.InForce{
-		Service:     params.Service,
-		Version:     params.Version,
-		InForce:     seen.InForce,
-		Lagging:     names(seen.Lagging),
-		Unreachable: names(seen.Unreachable),
+		Service: params.Service,
+		Version: params.Version,
+		InForce: seen.InForce,
+
+		LaggingCount:     sdoperatorapi.NewOptInt(seen.LaggingCount),
+		UnreachableCount: sdoperatorapi.NewOptInt(seen.UnreachableCount),
+		Lagging:          names(seen.Lagging),
+		Unreachable:      names(seen.Unreachable),
 	}
 }
 
--- a/internal/sdoperatorapi/oas_json_gen.go
+++ b/internal/sdoperatorapi/oas_json_gen.go
@@ -91,6 +91,18 @@
 		e.FieldStart("in_force")
 		e.Int(s.InForce)
 	}
+	{
+		if s.LaggingCount.Set {
+			e.FieldStart("lagging_count")
+			s.LaggingCount.Encode(e)
+		}
+	}
+	{
+		if s.UnreachableCount.Set {
+			e.FieldStart("unreachable_count")
+			s.UnreachableCount.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("lagging")
 		e.ArrStart()
@@ -109,12 +121,14 @@
 	}
 }
 
-var jsonFieldsNameOfInForce = [5]string{
+var jsonFieldsNameOfInForce = [7]string{
 	0: "service",
 	1: "version",
 	2: "in_force",
-	3: "lagging",
-	4: "unreachable",
+	3: "lagging_count",
+	4: "unreachable_count",
+	5: "lagging",
+	6: "unreachable",
 }
 
 // Decode decodes InForce from json.
@@ -162,8 +176,28 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"in_force\"")
 			}
+		case "lagging_count":
+			if err := func() error {
+				s.LaggingCount.Reset()
+				if err := s.LaggingCount.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"lagging_count\"")
+			}
+		case "unreachable_count":
+			if err := func() error {
+				s.UnreachableCount.Reset()
+				if err := s.UnreachableCount.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"unreachable_count\"")
+			}
 		case "lagging":
-			requiredBitSet[0] |= 1 << 3
+			requiredBitSet[0] |= 1 << 5
 			if err := func() error {
 				s.Lagging = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -183,7 +217,7 @@
 				return errors.Wrap(err, "decode field \"lagging\"")
 			}
 		case "unreachable":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				s.Unreachable = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -212,7 +246,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00011111,
+		0b01100111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/internal/sdoperatorapi/oas_schemas_gen.go
+++ b/internal/sdoperatorapi/oas_schemas_gen.go
@@ -27,11 +27,13 @@
 
 // Ref: #/components/schemas/InForce
 type InForce struct {
-	Service     string   `json:"service"`
-	Version     int64    `json:"version"`
-	InForce     int      `json:"in_force"`
-	Lagging     []string `json:"lagging"`
-	Unreachable []string `json:"unreachable"`
+	Service          string   `json:"service"`
+	Version          int64    `json:"version"`
+	InForce          int      `json:"in_force"`
+	LaggingCount     OptInt   `json:"lagging_count"`
+	UnreachableCount OptInt   `json:"unreachable_count"`
+	Lagging          []string `json:"lagging"`
+	Unreachable      []string `json:"unreachable"`
 }
 
 // GetService returns the value of Service.
@@ -49,6 +51,16 @@
 	return s.InForce
 }
 
+// GetLaggingCount returns the value of LaggingCount.
+func (s *InForce) GetLaggingCount() OptInt {
+	return s.LaggingCount
+}
+
+// GetUnreachableCount returns the value of UnreachableCount.
+func (s *InForce) GetUnreachableCount() OptInt {
+	return s.UnreachableCount
+}
+
 // GetLagging returns the value of Lagging.
 func (s *InForce) GetLagging() []string {
 	return s.Lagging
@@ -74,6 +86,16 @@
 	s.InForce = val
 }
 
+// SetLaggingCount sets the value of LaggingCount.
+func (s *InForce) SetLaggingCount(val OptInt) {
+	s.LaggingCount = val
+}
+
+// SetUnreachableCount sets the value of UnreachableCount.
+func (s *InForce) SetUnreachableCount(val OptInt) {
+	s.UnreachableCount = val
+}
+
 // SetLagging sets the value of Lagging.
 func (s *InForce) SetLagging(val []string) {
 	s.Lagging = val
--- a/internal/sdroster/roster.go
+++ b/internal/sdroster/roster.go
@@ -1,36 +1,54 @@
-// Package sdroster keeps a node's view of the other nodes. Every node raises
-// its own incarnation at each tick and sends its view to a few others; a member
-// whose incarnation stands still is dead. It does no I/O.
+// Package sdroster keeps a node's view of the other nodes: failure detection
+// by direct and indirect probes, suspicion that its subject can refute,
+// spreading of changes on other messages, and leases without which a sender
+// stops using a target. It does no I/O.
 package sdroster
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sddigest"
 )
 
 const (
 	// TickInterval is the time between two ticks.
-	TickInterval = 500 * time.Millisecond
-	// fanOut is the number of members a view is sent to at each tick.
-	fanOut = 2
-	// deadAfter is how long a member may stand still.
-	deadAfter = 4 * time.Second
-	// forgetAfter is how long a dead member is remembered, so that an old
-	// view cannot bring it back.
-	forgetAfter = time.Minute
-)
+	TickInterval = 250 * time.Millisecond
+	// forgetAfter is how long a dead or left member is remembered, so that an
+	// old word cannot bring it back.
+	forgetAfter = 10 * time.Minute
+	forgetEvery = time.Minute
+	// pausedAfter is the gap between two ticks from which this node takes
+	// itself as paused.
+	pausedAfter = time.Second
+	// isolatedAfter is the silence of all others from which this node doubts
+	// itself and not them.
+	isolatedAfter = 2 * time.Second
+	// aloneAfter is the silence from which an isolated node begins to take
+	// the others as dead, for itself alone.
+	aloneAfter = 10 * time.Second
 
-// Send asks the node to send this roster's view to an address.
-type Send struct {
-	Address string
-}
+	// spreadFactor times the logarithm of the fleet's size is how often a
+	// change is passed on by one node.
+	spreadFactor = 4
+	gossipFanOut = 2
+	// maxPiggyback bounds the members on one message, so that it fits a
+	// datagram.
+	maxPiggyback = 8
+)
 
 type entry struct {
 	member savorydeal.Member
-	heard  time.Time
+	// changed is when the state last changed.
+	changed time.Time
+	// position is the place in Roster.live, -1 if not live.
+	position int
+	// counted tells whether the entry is in the tree, with this digest.
+	counted bool
+	digest  uint64
 }
 
 // Roster is one node's view. One goroutine owns it.
@@ -39,140 +57,322 @@
 	meetingPoints []string
 	random        savorydeal.Random
 	others        map[savorydeal.NodeID]*entry
+	// live holds the members that are alive or suspect.
+	live []savorydeal.NodeID
+	dead []savorydeal.NodeID
+	tree sddigest.Tree
+	// spreading counts how often each changed member was passed on.
+	spreading map[savorydeal.NodeID]int
+	changed   bool
+	// version counts the changes of the view.
+	version uint64
+
+	sequence  uint64
+	lastTick  time.Time
+	lastHeard time.Time
+	forgetAt  time.Time
+	// health is 0 for a node that trusts itself, up to maxHealth.
+	health int
+
+	probes   map[uint64]*probe
+	relayed  map[uint64]relay
+	suspects map[savorydeal.NodeID]struct{}
+	// doubtful holds members that were suspected in isolation.
+	doubtful  map[savorydeal.NodeID]struct{}
+	round     []savorydeal.NodeID
+	probeAt   time.Time
+	healAt    time.Time
+	compareAt time.Time
+
+	leases leaseTable
+	askers map[string]time.Time
+	stats  Stats
+}
+
+// Stats counts what happened since the start.
+type Stats struct {
+	Suspicions uint64
+	Deaths     uint64
+	Refuted    uint64
+	Pauses     uint64
 }
 
 // New returns a view that holds only the node itself. meetingPoints are peer
-// addresses to try while others are few.
+// addresses through which the node joins and through which the halves of a cut
+// fleet find each other again.
 func New(self savorydeal.Member, meetingPoints []string, random savorydeal.Random) *Roster {
 	self.State = savorydeal.MemberAlive
-	return &Roster{
+	r := &Roster{
 		self:          self,
 		meetingPoints: meetingPoints,
 		random:        random,
 		others:        make(map[savorydeal.NodeID]*entry),
+		spreading:     make(map[savorydeal.NodeID]int),
+		probes:        make(map[uint64]*probe),
+		relayed:       make(map[uint64]relay),
+		suspects:      make(map[savorydeal.NodeID]struct{}),
+		doubtful:      make(map[savorydeal.NodeID]struct{}),
+		leases:        newLeaseTable(),
+		askers:        make(map[string]time.Time),
+		changed:       true,
 	}
+	r.countSelf()
+	return r
+}
+
+// SetMeetingPoints replaces the meeting points.
+func (r *Roster) SetMeetingPoints(points []string) {
+	r.meetingPoints = points
 }
 
-// SetTarget sets what this node says of its target.
-func (r *Roster) SetTarget(service string, state savorydeal.TargetState, slots int, readySince time.Time) {
+// MeetingPoint returns one of the meeting points of other nodes.
+func (r *Roster) MeetingPoint() (string, bool) {
+	points := make([]string, 0, len(r.meetingPoints))
+	for _, point := range r.meetingPoints {
+		if point != r.self.PeerAddress {
+			points = append(points, point)
+		}
+	}
+	if len(points) == 0 {
+		return "", false
+	}
+	return points[r.random.IntN(len(points))], true
+}
+
+// Joined reports whether the view holds another live node.
+func (r *Roster) Joined() bool {
+	return len(r.live) > 0
+}
+
+// SetTarget sets what this node says of its target, and tells the nodes that
+// have asked lately at once.
+func (r *Roster) SetTarget(now time.Time, service string, state savorydeal.TargetState, slots int, readySince time.Time) []Packet {
 	r.self.Service = service
 	r.self.TargetState = state
 	r.self.Slots = slots
 	r.self.ReadySince = readySince
-	r.self.Incarnation++
+	return r.announceSelf(now)
 }
 
-// Leave marks this node as left.
-func (r *Roster) Leave() {
+// Leave marks this node as left and tells others at once.
+func (r *Roster) Leave(now time.Time) []Packet {
 	r.self.State = savorydeal.MemberLeft
+	packets := r.announceSelf(now)
+	for _, node := range r.pick(leaveFanOut, "") {
+		packets = append(packets, r.gossipTo(r.others[node].member.PeerAddress))
+	}
+	return packets
+}
+
+// leaveFanOut is the number of nodes that hear of a leave at once.
+const leaveFanOut = 8
+
+func (r *Roster) announceSelf(now time.Time) []Packet {
 	r.self.Incarnation++
+	r.countSelf()
+	r.spread(r.self.Node)
+	r.changed = true
+	return r.tellAskers(now)
 }
 
-// Tick ages the view and returns whom to send it to.
-func (r *Roster) Tick(now time.Time) []Send {
-	if r.self.State == savorydeal.MemberAlive {
-		r.self.Incarnation++
+// countSelf keeps the own entry in the tree, as others count it.
+func (r *Roster) countSelf() {
+	own := r.others[r.self.Node]
+	if own == nil {
+		own = &entry{position: -1}
+		r.others[r.self.Node] = own
 	}
-	for node, other := range r.others {
-		silent := now.Sub(other.heard)
-		if other.member.State == savorydeal.MemberAlive && silent > deadAfter {
-			other.member.State = savorydeal.MemberDead
-		}
-		if silent > forgetAfter {
-			delete(r.others, node)
-		}
+	own.member = r.self
+	r.count(own)
+}
+
+// Merge takes members from a whole view or from a message.
+func (r *Roster) Merge(now time.Time, members []savorydeal.Member) {
+	for _, member := range members {
+		r.mergeOne(now, member)
 	}
-	return r.sends()
 }
 
-func (r *Roster) sends() []Send {
-	addresses := make([]string, 0, len(r.others))
-	for _, other := range r.others {
-		if other.member.State == savorydeal.MemberAlive {
-			addresses = append(addresses, other.member.PeerAddress)
-		}
+func (r *Roster) mergeOne(now time.Time, member savorydeal.Member) {
+	if member.Node == "" {
+		return
 	}
-	slices.Sort(addresses)
-	var sends []Send
-	for range min(fanOut, len(addresses)) {
-		i := r.random.IntN(len(addresses))
-		sends = append(sends, Send{Address: addresses[i]})
-		addresses = slices.Delete(addresses, i, i+1)
+	if member.Node == r.self.Node {
+		r.mergeSelf(member)
+		return
 	}
-	if point, ok := r.meetingPoint(); ok {
-		sends = append(sends, Send{Address: point})
+	known := r.others[member.Node]
+	if known == nil {
+		if !isLive(member.State) {
+			return
+		}
+		known = &entry{position: -1}
+		r.others[member.Node] = known
+	} else if !newer(member, known.member) {
+		return
 	}
-	return sends
+	r.set(now, known, member)
 }
 
-// meetingPoint picks one of the meeting points at every tick, so that two
-// halves of a cut fleet find each other again.
-func (r *Roster) meetingPoint() (string, bool) {
-	if len(r.meetingPoints) == 0 {
-		return "", false
+// mergeSelf refutes what others wrongly say of this node. Word of an earlier
+// life of this address is answered by spreading the present one.
+func (r *Roster) mergeSelf(member savorydeal.Member) {
+	switch {
+	case member.Generation < r.self.Generation:
+		r.spread(r.self.Node)
+	case member.Generation > r.self.Generation || r.self.State != savorydeal.MemberAlive:
+	case member.State != savorydeal.MemberAlive && member.Incarnation >= r.self.Incarnation:
+		r.self.Incarnation = member.Incarnation + 1
+		r.stats.Refuted++
+		r.doubt(1)
+		r.countSelf()
+		r.spread(r.self.Node)
+		r.changed = true
 	}
-	point := r.meetingPoints[r.random.IntN(len(r.meetingPoints))]
-	return point, point != r.self.PeerAddress
 }
 
-// Merge takes another node's view. It reports whether the state of a member
-// changed.
-func (r *Roster) Merge(now time.Time, members []savorydeal.Member) bool {
-	changed := false
-	for _, member := range members {
-		if r.mergeOne(now, member) {
-			changed = true
+// set puts a newer word into the view.
+func (r *Roster) set(now time.Time, known *entry, member savorydeal.Member) {
+	if member.Generation != known.member.Generation {
+		r.leases.forget(member.Node)
+	}
+	if member.State != known.member.State {
+		known.changed = now
+		switch member.State {
+		case savorydeal.MemberSuspect:
+			r.stats.Suspicions++
+			r.suspects[member.Node] = struct{}{}
+		case savorydeal.MemberDead:
+			r.stats.Deaths++
 		}
 	}
-	return changed
+	if member.State != savorydeal.MemberSuspect {
+		delete(r.suspects, member.Node)
+	}
+	known.member = member
+	r.version++
+	r.place(known)
+	r.count(known)
+	r.spread(member.Node)
+	r.changed = true
 }
 
-func (r *Roster) mergeOne(now time.Time, member savorydeal.Member) bool {
-	if member.Node == r.self.Node || member.Node == "" {
-		return false
-	}
-	known := r.others[member.Node]
-	if known == nil {
-		if member.State == savorydeal.MemberDead {
-			return false
+// place keeps the lists of live and dead members.
+func (r *Roster) place(e *entry) {
+	node := e.member.Node
+	switch live := isLive(e.member.State); {
+	case live && e.position < 0:
+		e.position = len(r.live)
+		r.live = append(r.live, node)
+		r.dead = slices.DeleteFunc(r.dead, func(dead savorydeal.NodeID) bool { return dead == node })
+	case !live && e.position >= 0:
+		last := r.live[len(r.live)-1]
+		r.live[e.position] = last
+		r.others[last].position = e.position
+		r.live = r.live[:len(r.live)-1]
+		e.position = -1
+		if e.member.State == savorydeal.MemberDead {
+			r.dead = append(r.dead, node)
 		}
-		r.others[member.Node] = &entry{member: member, heard: now}
-		return true
 	}
-	if !newer(member, known.member) {
-		return false
+}
+
+// count keeps the tree: live members count, with their words but not with
+// suspicion, which passes.
+func (r *Roster) count(e *entry) {
+	key := string(e.member.Node)
+	if e.counted {
+		r.tree.Toggle(key, e.digest)
+		e.counted = false
 	}
-	changed := routing(member) != routing(known.member)
-	known.member = member
-	known.heard = now
-	return changed
+	if isLive(e.member.State) {
+		e.digest = digestOf(e.member)
+		e.counted = true
+		r.tree.Toggle(key, e.digest)
+	}
+}
+
+func isLive(state savorydeal.MemberState) bool {
+	return state == savorydeal.MemberAlive || state == savorydeal.MemberSuspect
 }
 
-// newer compares generations first: a reborn VM with the same address starts
-// its incarnations anew.
+// newer orders two words of one node. A later life of the address goes first,
+// then the incarnation, which only the node itself raises; among equals the
+// worse news wins, and the node refutes it by raising its incarnation.
 func newer(a, b savorydeal.Member) bool {
 	if a.Generation != b.Generation {
 		return a.Generation > b.Generation
 	}
-	return a.Incarnation > b.Incarnation && a.State != savorydeal.MemberDead
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return rank(a.State) > rank(b.State)
+}
+
+func rank(state savorydeal.MemberState) int {
+	return slices.Index([]savorydeal.MemberState{
+		savorydeal.MemberAlive, savorydeal.MemberSuspect, savorydeal.MemberDead, savorydeal.MemberLeft,
+	}, state)
+}
+
+// spread puts a member on the list of what is passed on.
+func (r *Roster) spread(node savorydeal.NodeID) {
+	r.spreading[node] = 0
+}
+
+// piggyback picks the changes that were passed on least.
+func (r *Roster) piggyback() []savorydeal.Member {
+	if len(r.spreading) == 0 {
+		return nil
+	}
+	nodes := make([]savorydeal.NodeID, 0, len(r.spreading))
+	for node := range r.spreading {
+		nodes = append(nodes, node)
+	}
+	slices.SortFunc(nodes, func(a, b savorydeal.NodeID) int {
+		if r.spreading[a] != r.spreading[b] {
+			return r.spreading[a] - r.spreading[b]
+		}
+		return strings.Compare(string(a), string(b))
+	})
+	limit := spreadFactor * int(math.Ceil(math.Log10(float64(len(r.live)+2))))
+	var members []savorydeal.Member
+	for _, node := range nodes[:min(len(nodes), maxPiggyback)] {
+		members = append(members, r.others[node].member)
+		r.spreading[node]++
+		if r.spreading[node] >= limit {
+			delete(r.spreading, node)
+		}
+	}
+	return members
 }
 
-type routingView struct {
-	generation uint64
-	state      savorydeal.MemberState
-	target     savorydeal.TargetState
-	service    string
-	slots      int
+// pick draws live members at random, without except.
+func (r *Roster) pick(count int, except savorydeal.NodeID) []savorydeal.NodeID {
+	var picked []savorydeal.NodeID
+	for tries := 0; len(picked) < count && tries < 4*count && len(r.live) > 0; tries++ {
+		node := r.live[r.random.IntN(len(r.live))]
+		if node != except && !slices.Contains(picked, node) {
+			picked = append(picked, node)
+		}
+	}
+	return picked
 }
 
-func routing(member savorydeal.Member) routingView {
-	return routingView{
-		generation: member.Generation,
-		state:      member.State,
-		target:     member.TargetState,
-		service:    member.Service,
-		slots:      member.Slots,
+// Pick draws live members at random and returns their addresses.
+func (r *Roster) Pick(count int) []string {
+	var addresses []string
+	for _, node := range r.pick(count, "") {
+		addresses = append(addresses, r.others[node].member.PeerAddress)
 	}
+	return addresses
+}
+
+// TakeChanged reports whether the view has changed since the last call.
+func (r *Roster) TakeChanged() bool {
+	changed := r.changed
+	r.changed = false
+	return changed
 }
 
 // Self returns this node's own entry.
@@ -180,11 +380,23 @@
 	return r.self
 }
 
+// Stats returns the counters.
+func (r *Roster) Stats() Stats {
+	return r.stats
+}
+
+// Root is equal on two nodes with the same live members.
+func (r *Roster) Root() uint64 {
+	return r.tree.Root()
+}
+
 // Members returns the view, this node first, the others sorted by name.
 func (r *Roster) Members() []savorydeal.Member {
-	members := make([]savorydeal.Member, 0, len(r.others)+1)
-	for _, other := range r.others {
-		members = append(members, other.member)
+	members := make([]savorydeal.Member, 0, len(r.others))
+	for node, other := range r.others {
+		if node != r.self.Node {
+			members = append(members, other.member)
+		}
 	}
 	slices.SortFunc(members, func(a, b savorydeal.Member) int {
 		return strings.Compare(string(a.Node), string(b.Node))
--- /dev/null
+++ b/internal/sdroster/roster_test.go
@@ -0,0 +1,185 @@
+package sdroster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdroster"
+)
+
+// No death may be declared at 2% loss in ten minutes.
+func TestNoFalseDeathAtLoss(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 20)
+	w.run(20 * time.Second)
+	before := w.stats()
+	w.loss = 0.02
+	w.run(10 * time.Minute)
+	is.True(w.fired.lost > 0)
+	is.Equal(w.stats().Deaths, before.Deaths)
+	w.expectConverged()
+}
+
+// A node that is paused for a moment is not declared dead, and declares nobody
+// dead when it goes on.
+func TestPausedNodeDoesNotFlapOthers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 20)
+	w.run(20 * time.Second)
+	for range 10 {
+		w.vms[w.random.IntN(len(w.vms))].paused = w.now.Add(3 * time.Second)
+		w.run(15 * time.Second)
+	}
+	is.Equal(w.stats().Pauses, uint64(10))
+	is.Equal(w.stats().Deaths, uint64(0))
+	w.expectConverged()
+}
+
+// A node that is cut off alone takes the others as dead for itself, and tells
+// nobody when it is back.
+func TestIsolatedNodeTellsNoDeaths(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 12)
+	w.run(20 * time.Second)
+	alone := w.vms[5]
+	w.side = map[string]bool{alone.address: true}
+	w.run(60 * time.Second)
+	is.True(w.fired.cut > 0)
+	is.True(alone.deaths() > 0)
+	is.Equal(w.deathsSeen(), 11+alone.deaths())
+	w.side = nil
+	w.run(60 * time.Second)
+	w.expectConverged()
+	is.Equal(w.deathsSeen(), 11+alone.deaths())
+}
+
+func (machine *vm) deaths() int {
+	return int(machine.roster.Stats().Deaths)
+}
+
+func (w *world) deathsSeen() int {
+	return int(w.stats().Deaths)
+}
+
+// Half of the fleet is cut off; both halves heal without the platform.
+func TestHalvesHeal(t *testing.T) {
+	w := newWorld(t, 4, 20)
+	w.run(20 * time.Second)
+	w.side = make(map[string]bool)
+	for i, machine := range w.vms {
+		w.side[machine.address] = i < 10
+	}
+	w.run(2 * time.Minute)
+	w.side = nil
+	w.run(60 * time.Second)
+	w.expectConverged()
+}
+
+// member is a word of a node at another address than the one under test.
+func member(generation, incarnation uint64, state savorydeal.MemberState) savorydeal.Member {
+	return savorydeal.Member{
+		Node: "10.0.0.2:7000", PeerAddress: "10.0.0.2:7000", Generation: generation, Incarnation: incarnation, State: state,
+		Service: service, TargetState: savorydeal.TargetReady,
+	}
+}
+
+func newRoster() *sdroster.Roster {
+	self := savorydeal.Member{Node: "10.0.0.1:7000", PeerAddress: "10.0.0.1:7000", Generation: 5}
+	return sdroster.New(self, nil, newWorld(nil, 1, 0).random)
+}
+
+func TestMergeKeepsTheNewestWord(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		words []savorydeal.Member
+		want  savorydeal.Member
+	}{
+		{"older after newer", []savorydeal.Member{member(1, 5, savorydeal.MemberAlive), member(1, 4, savorydeal.MemberAlive)}, member(1, 5, savorydeal.MemberAlive)},
+		{"dead over alive", []savorydeal.Member{member(1, 5, savorydeal.MemberAlive), member(1, 5, savorydeal.MemberDead)}, member(1, 5, savorydeal.MemberDead)},
+		{"alive does not undo dead", []savorydeal.Member{member(1, 5, savorydeal.MemberAlive), member(1, 5, savorydeal.MemberDead), member(1, 5, savorydeal.MemberAlive)}, member(1, 5, savorydeal.MemberDead)},
+		{"refuted", []savorydeal.Member{member(1, 5, savorydeal.MemberAlive), member(1, 5, savorydeal.MemberDead), member(1, 6, savorydeal.MemberAlive)}, member(1, 6, savorydeal.MemberAlive)},
+		{"reborn", []savorydeal.Member{member(1, 9, savorydeal.MemberAlive), member(2, 1, savorydeal.MemberAlive)}, member(2, 1, savorydeal.MemberAlive)},
+		{"death of an earlier life", []savorydeal.Member{member(2, 1, savorydeal.MemberAlive), member(1, 9, savorydeal.MemberDead)}, member(2, 1, savorydeal.MemberAlive)},
+		{"left", []savorydeal.Member{member(1, 5, savorydeal.MemberAlive), member(1, 6, savorydeal.MemberLeft), member(1, 6, savorydeal.MemberSuspect)}, member(1, 6, savorydeal.MemberLeft)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			roster := newRoster()
+			roster.Merge(epoch, test.words)
+			members := roster.Members()
+			is.Equal(len(members), 2)
+			is.Equal(members[1], test.want)
+		})
+	}
+}
+
+func TestRefutesItsOwnDeath(t *testing.T) {
+	is := is.New(t)
+	roster := newRoster()
+	wrong := roster.Self()
+	wrong.State = savorydeal.MemberDead
+	wrong.Incarnation = 7
+	roster.Merge(epoch, []savorydeal.Member{wrong})
+	is.Equal(roster.Self().State, savorydeal.MemberAlive)
+	is.Equal(roster.Self().Incarnation, uint64(8))
+	is.Equal(roster.Stats().Refuted, uint64(1))
+}
+
+// A sender that hears nothing at all uses no target after the bound, whether
+// it has called the service before or not.
+func TestLeasesExpireBySilence(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		interest bool
+	}{{"service in use", true}, {"service not called before", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			roster := newRoster()
+			target := member(1, 1, savorydeal.MemberAlive)
+			roster.Tick(epoch)
+			roster.Receive(epoch, target.PeerAddress, sdroster.Message{Kind: sdroster.KindGossip, Self: target})
+			is.True(roster.Leases().Routable(epoch, target))
+			now := epoch
+			for now.Sub(epoch) < departedBound {
+				if test.interest {
+					roster.Interest(now, service)
+				}
+				now = now.Add(sdroster.TickInterval)
+				roster.Tick(now)
+			}
+			is.True(!roster.Leases().Routable(now, target))
+		})
+	}
+}
+
+// A paused sender goes on with the leases of before its pause; they have
+// lapsed by then.
+func TestLeasesLapseOverAPause(t *testing.T) {
+	is := is.New(t)
+	roster := newRoster()
+	target := member(1, 1, savorydeal.MemberAlive)
+	roster.Receive(epoch, target.PeerAddress, sdroster.Message{Kind: sdroster.KindGossip, Self: target})
+	roster.Interest(epoch, service)
+	roster.Tick(epoch)
+	before := roster.Leases()
+	is.True(before.Routable(epoch, target))
+	is.True(!before.Routable(epoch.Add(departedBound), target))
+}
+
+// An answer confirms a target as of the time the call was sent, not of its end.
+func TestAnswerConfirmsFromItsSending(t *testing.T) {
+	is := is.New(t)
+	roster := newRoster()
+	target := member(1, 1, savorydeal.MemberAlive)
+	roster.Receive(epoch, target.PeerAddress, sdroster.Message{Kind: sdroster.KindGossip, Self: target})
+	roster.Interest(epoch, service)
+	roster.Tick(epoch)
+	sent := epoch.Add(time.Second)
+	roster.Confirm(target.Node, sent)
+	leases := roster.Leases()
+	is.True(leases.Routable(sent.Add(sdroster.LeaseTerm-time.Millisecond), target))
+	is.True(!leases.Routable(sent.Add(sdroster.LeaseTerm), target))
+}
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -32,6 +33,9 @@
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
 	LogLevel    string
+	// TestLoss is the share of datagrams between nodes that are dropped on
+	// purpose, for tests of loss.
+	TestLoss float64
 }
 
 const (
@@ -40,6 +44,7 @@
 
 	minStopTimeout = time.Second
 	maxStopTimeout = time.Hour
+	maxTestLoss    = 0.9
 )
 
 var zonePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
@@ -84,6 +89,7 @@
 		{Flag: "meeting-points", Help: "peer addresses of nodes to join through, separated by commas", read: meetingPoints},
 		{Flag: "platform-url", Help: "base URL of the platform's object API", read: platformURL},
 		{Flag: "stop-timeout", Default: "30s", Help: "longest graceful stop, such as 30s", read: stopTimeout},
+		{Flag: "test-loss", Default: "0", Help: "share of datagrams between nodes to drop, from 0 to 0.9, for tests only", read: testLoss},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", read: logLevel},
 	}
 }
@@ -196,6 +202,15 @@
 	return nil
 }
 
+func testLoss(settings *Settings, text string) error {
+	parsed, err := strconv.ParseFloat(text, 64)
+	if err != nil || parsed < 0 || parsed > maxTestLoss {
+		return fmt.Errorf("%q is no share from 0 to %v; write it like 0.02", text, maxTestLoss)
+	}
+	settings.TestLoss = parsed
+	return nil
+}
+
 func logLevel(settings *Settings, text string) error {
 	switch text {
 	case "debug", "info", "warn", "error":
@@ -218,6 +233,7 @@
 		"--platform-url", s.PlatformURL,
 		"--stop-timeout", s.StopTimeout.String(),
 		"--log-level", s.LogLevel,
+		"--test-loss", strconv.FormatFloat(s.TestLoss, 'f', -1, 64),
 	}
 	if len(s.MeetingPoints) > 0 {
 		flags = append(flags, "--meeting-points", strings.Join(s.MeetingPoints, ","))
