--- a/internal/sdconfig/store.go
+++ b/internal/sdconfig/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -12,6 +13,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sddigest"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 // Decode reads a policy from the platform's object. For an object of another
@@ -92,6 +94,9 @@
 	if err != nil {
 		entry.Rejected = err.Error()
 	} else {
+		sdinvariant.NoVersionReversal.Check(record.Version >= entry.InForce.Version, func() string {
+			return fmt.Sprintf("%s goes from version %d to %d", object.Name, entry.InForce.Version, record.Version)
+		})
 		s.inForce ^= versionDigest(key, entry.Readable.Version) ^ versionDigest(key, object.Version)
 		entry.Readable = object
 		entry.InForce = record
