--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdconfig"
@@ -78,6 +79,8 @@
 	NewestVersion  int64  `json:"newest_version"`
 	InForceVersion int64  `json:"in_force_version"`
 	Rejected       string `json:"rejected,omitempty"`
+	// TakenAt is when this node took the newest version.
+	TakenAt time.Time `json:"taken_at"`
 }
 
 // targetDump is the dump of this VM's target.
@@ -114,6 +117,7 @@
 				NewestVersion:  entry.Newest.Version,
 				InForceVersion: entry.Readable.Version,
 				Rejected:       entry.Rejected,
+				TakenAt:        c.takenAt[sdconfig.KeyOf(object)],
 			})
 		}
 		announcement := c.lease.Announcement()
--- a/internal/sdnode/control.go
+++ b/internal/sdnode/control.go
@@ -20,6 +20,7 @@
 	spread    *sdconfig.Spread
 	reporter  sdconfig.Reporter
 	collector *sdconfig.Collector
+	takenAt   map[sdconfig.Key]time.Time
 	// collectors are those of the own data centre, by slot.
 	collectors [sdconfig.SlotsPerDataCentre]savorydeal.NodeID
 	queries    map[uint64]chan<- sdconfig.Answer
@@ -147,6 +148,7 @@
 	}
 	n.publishPolicies(c)
 	for _, object := range applied {
+		c.takenAt[sdconfig.KeyOf(object)] = now
 		n.log.Info("object taken", "kind", object.Kind, "name", object.Name, "version", object.Version, "deleted", object.Deleted)
 	}
 	n.sendConfig(c, packets)
--- a/internal/sdnode/fleet.go
+++ b/internal/sdnode/fleet.go
@@ -43,6 +43,7 @@
 		store:     sdconfig.NewStore(decodeObject),
 		collector: sdconfig.NewCollector(),
 		lease:     sdannounce.NewLease(),
+		takenAt:   make(map[sdconfig.Key]time.Time),
 		queries:   make(map[uint64]chan<- sdconfig.Answer),
 	}
 	roster := c.roster
@@ -80,7 +81,8 @@
 	switch {
 	case datagram.Membership != nil:
 		n.sendMembership(c, c.roster.Receive(now, from, *datagram.Membership))
-		if now.Sub(c.publishedAt) >= publishGap {
+		lease := datagram.Membership.Kind == sdroster.KindSame || datagram.Membership.Kind == sdroster.KindWord
+		if lease || now.Sub(c.publishedAt) >= publishGap {
 			n.publishMembers(c)
 		}
 	case datagram.Config != nil:
@@ -153,11 +155,15 @@
 	n.placement.Update(now, leased(now, leases, n.Members()))
 }
 
-// leased marks targets without a lease as silent, for they are to this node.
+// leased is the view as placement may use it: targets without a lease are
+// silent to this node, and a suspect with a lease is alive.
 func leased(now time.Time, leases *sdroster.Leases, members []savorydeal.Member) []savorydeal.Member {
 	marked := make([]savorydeal.Member, len(members))
 	for i, member := range members {
-		if member.Routable() && !leases.Routable(now, member) {
+		switch {
+		case leases.Routable(now, member):
+			member.State = savorydeal.MemberAlive
+		case member.TargetState == savorydeal.TargetReady:
 			member.TargetState = savorydeal.TargetSilent
 		}
 		marked[i] = member
@@ -196,7 +202,7 @@
 func (n *Node) takeUse(now time.Time, c *control) {
 	n.fleet.use.services.Range(func(service, _ any) bool {
 		n.fleet.use.services.Delete(service)
-		c.roster.Interest(now, service.(string))
+		n.sendMembership(c, c.roster.Interest(now, service.(string)))
 		return true
 	})
 	n.fleet.use.answered.Range(func(node, sent any) bool {
--- a/internal/sdnode/leased.go
+++ b/internal/sdnode/leased.go
@@ -8,12 +8,17 @@
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 )
 
-// leasedTries bounds how often another target is chosen when a lease has
-// lapsed since the placement's view was made.
-const leasedTries = 4
+const (
+	// leasedTries bounds how often another target is chosen when a lease has
+	// lapsed since the placement's view was made.
+	leasedTries = 4
+	// firstLeaseWait bounds the wait of the first calls of a service for its
+	// first lease, one round trip to a target's node.
+	firstLeaseWait = 300 * time.Millisecond
+	firstLeasePoll = time.Millisecond
+)
 
-// use notes what traffic does, for control to take at its next tick. Traffic
-// never waits for control.
+// use notes what traffic does, for control to take at its next tick.
 type use struct {
 	// services that were called, as keys.
 	services sync.Map
@@ -26,15 +31,38 @@
 // paused would go on with it.
 type leasedPlacement struct {
 	savorydeal.Placement
+	clock  savorydeal.Clock
 	use    *use
 	leases func() *sdroster.Leases
+	// wake asks control to take what was used at once; it does not wait.
+	wake func()
 }
 
-// Choose picks a member whose lease holds now.
+// Choose picks a member whose lease holds now. The first call of a service
+// that this node does not call yet waits for a lease: without one nothing is
+// known but gossip, and the only other answer is that there is no target.
 func (p leasedPlacement) Choose(now time.Time, request savorydeal.PlacementRequest) (savorydeal.Member, bool) {
 	if _, noted := p.use.services.Load(request.Service); !noted {
 		p.use.services.Store(request.Service, struct{}{})
 	}
+	if p.leases().Holds(request.Service) {
+		return p.choose(now, request)
+	}
+	p.wake()
+	began := now
+	for {
+		if member, ok := p.choose(now, request); ok {
+			return member, true
+		}
+		if now.Sub(began) >= firstLeaseWait {
+			return savorydeal.Member{}, false
+		}
+		<-p.clock.After(firstLeasePoll)
+		now = p.clock.Now()
+	}
+}
+
+func (p leasedPlacement) choose(now time.Time, request savorydeal.PlacementRequest) (savorydeal.Member, bool) {
 	leases := p.leases()
 	for range leasedTries {
 		member, ok := p.Placement.Choose(now, request)
@@ -60,3 +88,25 @@
 	}
 	p.Placement.Observe(now, observation)
 }
+
+// wakeControl makes control take what traffic has used before its next tick.
+func (n *Node) wakeControl() {
+	event := func(c *control) {
+		n.takeUse(n.clock.Now(), c)
+		n.publishMembers(c)
+	}
+	select {
+	case n.events <- event:
+	default:
+	}
+}
+
+func (n *Node) leasedPlacement() savorydeal.Placement {
+	return leasedPlacement{
+		Placement: n.placement,
+		clock:     n.clock,
+		use:       &n.fleet.use,
+		leases:    n.fleet.leases.Load,
+		wake:      n.wakeControl,
+	}
+}
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -125,7 +125,7 @@
 	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
-		Placement:  leasedPlacement{Placement: n.placement, use: &n.fleet.use, leases: n.fleet.leases.Load},
+		Placement:  n.leasedPlacement(),
 		Retries:    sdretry.New(n.newRandom()),
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
--- a/internal/sdrig/rig.go
+++ b/internal/sdrig/rig.go
@@ -82,9 +82,13 @@
 	return rig, nil
 }
 
+// vmsPerBlock keeps the last part of an address below its bound; larger rigs
+// go on in the next block.
+const vmsPerBlock = 250
+
 // address returns the IP address of the rig's n-th VM.
 func (r *Rig) address(n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", r.base[0], r.base[1], n+1)
+	return fmt.Sprintf("127.%d.%d.%d", r.base[0], int(r.base[1])+n/vmsPerBlock, n%vmsPerBlock+1)
 }
 
 // NodeSpec says where a node runs.
--- a/internal/sdroster/lease.go
+++ b/internal/sdroster/lease.go
@@ -20,9 +20,6 @@
 	// askLapsed the same once the lease has lapsed.
 	askAgain  = 500 * time.Millisecond
 	askLapsed = 2 * time.Second
-	// firstTerm is how long a target may be used on gossip alone when a node
-	// begins to call its service.
-	firstTerm = 2 * time.Second
 	// interestTerm is how long a service counts as called after a call.
 	interestTerm = time.Minute
 	// maxLeases bounds the leases of one node, whatever the fleet's size;
@@ -43,12 +40,9 @@
 	stale bool
 }
 
-type interest struct {
-	since, last time.Time
-}
-
 type leaseTable struct {
-	interests map[string]*interest
+	// interests holds when each service was called last.
+	interests map[string]time.Time
 	leases    map[savorydeal.NodeID]*lease
 	asks      map[uint64]ask
 	chooseAt  time.Time
@@ -63,7 +57,7 @@
 
 func newLeaseTable() leaseTable {
 	return leaseTable{
-		interests: make(map[string]*interest),
+		interests: make(map[string]time.Time),
 		leases:    make(map[savorydeal.NodeID]*lease),
 		asks:      make(map[uint64]ask),
 	}
@@ -71,28 +65,31 @@
 
 // Leases says until when targets may be sent new calls. It is immutable.
 type Leases struct {
-	self savorydeal.NodeID
-	// until holds the leases, which stand for all targets of the services
-	// this node calls.
+	self      savorydeal.NodeID
 	until     map[savorydeal.NodeID]time.Time
 	interests map[string]bool
-	// others is the end of the trust in targets of services that this node
-	// does not call.
-	others time.Time
+}
+
+// Holds reports whether there are leases for a service: this node calls it.
+func (l *Leases) Holds(service string) bool {
+	return l.interests[service]
 }
 
 // Routable reports whether a new call may be sent to the member's target.
 func (l *Leases) Routable(now time.Time, member savorydeal.Member) bool {
-	if !member.Routable() {
+	if !usable(member) {
 		return false
 	}
 	if member.Node == l.self {
 		return true
 	}
-	if l.interests[member.Service] {
-		return now.Before(l.until[member.Node])
-	}
-	return now.Before(l.others) && member.State == savorydeal.MemberAlive
+	return now.Before(l.until[member.Node])
+}
+
+// usable leaves suspicion out: it is what others say, and a lease is the
+// target's node's own word.
+func usable(member savorydeal.Member) bool {
+	return isLive(member.State) && member.TargetState == savorydeal.TargetReady
 }
 
 // State describes which targets are routable now. It changes when one becomes
@@ -107,9 +104,6 @@
 			state.WriteString(string(node) + ";")
 		}
 	}
-	if now.Before(l.others) {
-		state.WriteString("others")
-	}
 	return state.String()
 }
 
@@ -134,7 +128,6 @@
 		self:      r.self.Node,
 		until:     make(map[savorydeal.NodeID]time.Time, len(r.leases.leases)),
 		interests: make(map[string]bool, len(r.leases.interests)),
-		others:    r.lastHeard.Add(LeaseTerm),
 	}
 	for node, lease := range r.leases.leases {
 		leases.until[node] = lease.until
@@ -145,16 +138,17 @@
 	return leases
 }
 
-// Interest notes that this node calls a service.
-func (r *Roster) Interest(now time.Time, service string) {
-	known := r.leases.interests[service]
-	if known == nil {
-		r.leases.interests[service] = &interest{since: now, last: now}
-		r.leases.chooseAt = now
-		r.version++
-		return
+// Interest notes that this node calls a service. For a service that is new it
+// returns the asks for leases: until they are answered none of its targets may
+// be used.
+func (r *Roster) Interest(now time.Time, service string) []Packet {
+	_, known := r.leases.interests[service]
+	r.leases.interests[service] = now
+	if known {
+		return nil
 	}
-	known.last = now
+	r.chooseLeases()
+	return r.askAll(now)
 }
 
 // Confirm notes that a call which was sent at the time was run by the node's
@@ -203,7 +197,7 @@
 		r.endInterests(now)
 		if t.chosenFor != r.version {
 			t.chosenFor = r.version
-			r.chooseLeases(now)
+			r.chooseLeases()
 		}
 	}
 	for sequence, asked := range t.asks {
@@ -211,9 +205,13 @@
 			delete(t.asks, sequence)
 		}
 	}
+	return r.askAll(now)
+}
+
+func (r *Roster) askAll(now time.Time) []Packet {
 	var packets []Packet
-	for _, node := range sortedKeys(t.leases) {
-		if packet, ok := r.ask(now, t.leases[node]); ok {
+	for _, node := range sortedKeys(r.leases.leases) {
+		if packet, ok := r.ask(now, r.leases.leases[node]); ok {
 			packets = append(packets, packet)
 		}
 	}
@@ -225,7 +223,7 @@
 	if !now.Before(lease.until) {
 		again = askLapsed
 	}
-	if now.Sub(lease.confirmed) < askAfter || now.Sub(lease.asked) < again {
+	if now.Sub(lease.confirmed) < askAfter || !lease.asked.IsZero() && now.Sub(lease.asked) < again {
 		return Packet{}, false
 	}
 	r.sequence++
@@ -262,8 +260,8 @@
 }
 
 func (r *Roster) endInterests(now time.Time) {
-	for service, known := range r.leases.interests {
-		if now.Sub(known.last) > interestTerm {
+	for service, last := range r.leases.interests {
+		if now.Sub(last) > interestTerm {
 			delete(r.leases.interests, service)
 			r.version++
 		}
@@ -273,7 +271,7 @@
 // chooseLeases picks the targets of each service that this node calls: the own
 // data centre first, then by a hash that differs between nodes, so that the
 // fleet's choices spread over all targets.
-func (r *Roster) chooseLeases(now time.Time) {
+func (r *Roster) chooseLeases() {
 	t := &r.leases
 	for _, lease := range t.leases {
 		lease.stale = true
@@ -281,7 +279,7 @@
 	candidates := make(map[string][]savorydeal.Member)
 	for _, node := range r.live {
 		member := r.others[node].member
-		if t.interests[member.Service] != nil && member.Routable() {
+		if _, called := t.interests[member.Service]; called && usable(member) {
 			candidates[member.Service] = append(candidates[member.Service], member)
 		}
 	}
@@ -289,10 +287,10 @@
 	if len(t.interests) > 0 {
 		share = max(minPerService, maxLeases/len(t.interests))
 	}
-	for service, members := range candidates {
+	for _, members := range candidates {
 		r.sortByPreference(members)
 		for _, member := range members[:min(share, len(members))] {
-			r.hold(now, t.interests[service], member)
+			r.hold(member)
 		}
 	}
 	for node, lease := range t.leases {
@@ -302,13 +300,10 @@
 	}
 }
 
-func (r *Roster) hold(now time.Time, interest *interest, member savorydeal.Member) {
+func (r *Roster) hold(member savorydeal.Member) {
 	held := r.leases.leases[member.Node]
 	if held == nil {
 		held = &lease{member: member}
-		if now.Sub(interest.since) < firstTerm && !r.isolated(now) {
-			held.until = interest.since.Add(firstTerm)
-		}
 		r.leases.leases[member.Node] = held
 	}
 	held.stale = false
