--- a/internal/sdcli/command_test.go
+++ b/internal/sdcli/command_test.go
@@ -63,7 +63,8 @@
 
 func (o *operators) WaitInForce(context.Context, sdoperatorapi.WaitInForceParams) (*sdoperatorapi.InForce, error) {
 	return &sdoperatorapi.InForce{
-		Service: "orders", Version: 8, InForce: 5, Lagging: o.lagging, Unreachable: []string{"10.0.0.9:7000"},
+		Service: "orders", Version: 8, InForce: 5, LaggingCount: len(o.lagging), Lagging: o.lagging,
+		UnreachableCount: 1, Unreachable: []string{"10.0.0.9:7000"},
 	}, nil
 }
 
--- a/internal/sdoperatorapi/oas_unimplemented_gen.go
+++ b/internal/sdoperatorapi/oas_unimplemented_gen.go
@@ -58,6 +58,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ListPoison implements listPoison operation.
+//
+// The requests that have crashed targets, as this node knows them.
+//
+// GET /v1/poison
+func (UnimplementedHandler) ListPoison(ctx context.Context) (r *PoisonList, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // ListPolicies implements listPolicies operation.
 //
 // GET /v1/policies
@@ -65,6 +74,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ListUnknownOutcomes implements listUnknownOutcomes operation.
+//
+// The keyed calls of the last day that may have run and have no answer, the newest first.
+//
+// GET /v1/unknown_outcomes/{service}
+func (UnimplementedHandler) ListUnknownOutcomes(ctx context.Context, params ListUnknownOutcomesParams) (r *UnknownOutcomeList, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // PutPolicy implements putPolicy operation.
 //
 // PUT /v1/policies/{service}
@@ -72,6 +90,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ReleasePoison implements releasePoison operation.
+//
+// Lets a request run again at every node that can be reached.
+//
+// POST /v1/poison/{fingerprint}/release
+func (UnimplementedHandler) ReleasePoison(ctx context.Context, params ReleasePoisonParams) (r *PoisonRelease, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // WaitInForce implements waitInForce operation.
 //
 // Waits until every node that can be reached runs at least this version, or the wait ends.
