A stop cuts off no request: callers are asked to close, idle ones answered

Cause: on the signal the node called http.Server.Shutdown, which closes idle kept-alive connections at once. A request on its way there met a reset and its caller could not know whether it had run. Calls queued for the target were refused at their turn, operators' changes in flight were cut, and a stop that ran into its timeout ended with the code of any failure.

Ruled out: waiting for callers to close (many never do); marking answers with Connection: close alone (says nothing to a connection that stays idle).

Change: sddrain decides the order of a stop without I/O; sdkeepalive holds the connections and decides under one lock whether the server is handed a byte of the next request or the connection is answered 408 not_run and half-closed. Calls let in before the stop run in their turn; a leaving target still gets nothing that was queued. Exit code 7 names a timeout with work in flight. A signal during the start ends the process cleanly.

--- a/internal/sdcommand/node.go
+++ b/internal/sdcommand/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -29,10 +30,14 @@
 	ExitUnknown  = 4
 	ExitLagging  = 5
 	ExitForced   = 6
+	// ExitStopTimeout means that the stop timeout cut work off.
+	ExitStopTimeout = 7
 )
 
 // RunNode runs the node with the arguments and returns its exit code.
 func RunNode(arguments []string, environment func(string) (string, bool), stderr io.Writer) int {
+	ctx, stop := stopSignals(stderr)
+	defer stop()
 	settings, mistakes := readSettings(arguments, environment)
 	if len(mistakes) > 0 {
 		for _, mistake := range mistakes {
@@ -46,10 +51,13 @@
 		log.Error("node failed", "error", err)
 		return ExitFailed
 	}
-	ctx, stop := stopSignals(log)
-	defer stop()
 	node := sdnode.New(settings, Version, seed, sdclock.System{}, log)
-	if err := node.Run(ctx); err != nil {
+	err = node.Run(ctx)
+	switch {
+	case errors.Is(err, sdnode.ErrStopTimeout):
+		log.Error("stop cut work off", "error", err)
+		return ExitStopTimeout
+	case err != nil:
 		log.Error("node failed", "error", err)
 		return ExitFailed
 	}
@@ -67,8 +75,8 @@
 }
 
 // stopSignals ends the context at the first signal; the second ends the
-// process at once.
-func stopSignals(log hclog.Logger) (context.Context, func()) {
+// process at once, also when a stop hangs.
+func stopSignals(stderr io.Writer) (context.Context, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -76,7 +84,7 @@
 		<-signals
 		cancel()
 		<-signals
-		log.Warn("second signal: stopping at once")
+		_, _ = fmt.Fprintln(stderr, "savorydeal-node: second signal: stopping at once")
 		os.Exit(ExitForced)
 	}()
 	return ctx, cancel
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -123,6 +123,7 @@
 		section("policies", policies),
 		section("target", target),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
+		section("stop", n.dumpStop()),
 	}
 }
 
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -69,6 +69,7 @@
 	router    *sdkeyed.Router
 	metrics   *sdmetrics.Metrics
 	ids       *identifiers
+	stop      stopState
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -95,6 +96,7 @@
 		store:  sdconfig.NewStore(sdrecord.DecodeValue),
 		lease:  sdannounce.NewLease(),
 	}
+	n.stop.init()
 	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
 	n.wireTraffic()
 	n.registerGauges()
@@ -143,9 +145,9 @@
 		OwnerAt: n.ownerAt,
 	}
 	calls := &sdcarrier.Server{Carrier: n.server, Log: n.log.Named("call")}
-	keyed := &sdcarrier.Server{Carrier: n.owner, Log: n.log.Named("keyed")}
-	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
+	keyed := &sdcarrier.Server{Carrier: n.stop.guardKeyed(n.owner), Log: n.log.Named("keyed")}
+	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
+	n.links.Handle(sdlink.KindKeyed, n.stop.count(keyed.Serve))
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -10,8 +10,10 @@
 
 	"github.com/oklog/run"
 
+	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
+	"github.com/savorydeal/savorydeal/internal/sdkeepalive"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
@@ -22,7 +24,6 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
-	drainPoll         = 10 * time.Millisecond
 )
 
 // listeners are the node's addresses.
@@ -34,6 +35,13 @@
 	admin    net.Listener
 }
 
+// close closes what the servers have not closed.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.peer, l.caller, l.onward, l.announce, l.admin} {
+		_ = listener.Close()
+	}
+}
+
 func (n *Node) listen() (listeners, error) {
 	var l listeners
 	var opened []net.Listener
@@ -61,29 +69,25 @@
 }
 
 // Run serves until ctx ends, then stops gracefully: no new work, all work in
-// flight finished, bounded by the stop timeout.
+// flight finished, bounded by the stop timeout. It returns ErrStopTimeout if
+// that bound cut work off.
 func (n *Node) Run(ctx context.Context) error {
 	l, err := n.listen()
 	if err != nil {
 		return err
 	}
+	defer l.close()
 	platform, err := sdplatform.New(n.settings.PlatformURL)
 	if err != nil {
 		return err
 	}
-	operators, err := sdoperator.NewHandler(n, platform, n.clock)
+	servers, err := n.newServers(l, platform)
 	if err != nil {
-		return fmt.Errorf("operators' handler: %w", err)
-	}
-	announce, err := sdtarget.NewHandler(n, sdannounce.TTL)
-	if err != nil {
-		return fmt.Errorf("announce handler: %w", err)
+		return err
 	}
-	servers := &httpServers{
-		caller:   newHTTPServer(n.entry(sdentry.SideOuter)),
-		onward:   newHTTPServer(n.entry(sdentry.SideInner)),
-		announce: newHTTPServer(announce),
-		admin:    newHTTPServer(n.adminHandler(operators)),
+	if ctx.Err() != nil {
+		n.log.Info("stopped before serving")
+		return nil
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -92,10 +96,9 @@
 	group.Add(func() error { return n.runControl(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.runWatch(background, platform, sdrecord.KindPolicy) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
-	addServer(&group, servers.caller, l.caller)
-	addServer(&group, servers.onward, l.onward)
-	addServer(&group, servers.announce, l.announce)
-	addServer(&group, servers.admin, l.admin)
+	for _, server := range servers.all() {
+		group.Add(server.serve, func(error) { server.close() })
+	}
 	stopped := make(chan struct{})
 	group.Add(func() error { return n.waitAndStop(ctx, servers, stopped) }, func(error) { close(stopped) })
 	n.log.Info("node started", "peer_address", n.settings.PeerAddress, "caller_address", n.settings.CallerAddress,
@@ -106,63 +109,68 @@
 	return err
 }
 
+// newServers builds the HTTP servers of all addresses.
+func (n *Node) newServers(l listeners, platform savorydeal.Platform) (*httpServers, error) {
+	operators, err := sdoperator.NewHandler(n, platform, n.clock)
+	if err != nil {
+		return nil, fmt.Errorf("operators' handler: %w", err)
+	}
+	announce, err := sdtarget.NewHandler(n, sdannounce.TTL)
+	if err != nil {
+		return nil, fmt.Errorf("announce handler: %w", err)
+	}
+	callers, local := n.stop.callers, n.stop.local
+	return &httpServers{
+		caller:   newHTTPServer(callers, l.caller, n.entry(sdentry.SideOuter)),
+		onward:   newHTTPServer(local, l.onward, n.entry(sdentry.SideInner)),
+		announce: newHTTPServer(local, l.announce, announce),
+		admin:    newHTTPServer(local, l.admin, n.adminHandler(operators)),
+	}, nil
+}
+
+// httpServer is one HTTP server with its listener.
+type httpServer struct {
+	server   *http.Server
+	listener *sdkeepalive.Listener
+}
+
 // httpServers are the node's HTTP servers.
 type httpServers struct {
-	caller   *http.Server
-	onward   *http.Server
-	announce *http.Server
-	admin    *http.Server
+	caller   *httpServer
+	onward   *httpServer
+	announce *httpServer
+	admin    *httpServer
+}
+
+func (s *httpServers) all() []*httpServer {
+	return append(s.local(), s.caller)
 }
 
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
+// local are the servers of the target and of operators.
+func (s *httpServers) local() []*httpServer {
+	return []*httpServer{s.onward, s.announce, s.admin}
+}
+
+func newHTTPServer(set *sdkeepalive.Set, listener net.Listener, handler http.Handler) *httpServer {
+	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	set.Attach(server)
+	return &httpServer{server: server, listener: set.Listen(listener)}
 }
 
-func addServer(group *run.Group, server *http.Server, listener net.Listener) {
-	group.Add(func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
-	}, func(error) { _ = server.Close() })
-}
-
-// waitAndStop waits for the end of ctx and drains the node.
-func (n *Node) waitAndStop(ctx context.Context, servers *httpServers, stopped <-chan struct{}) error {
-	select {
-	case <-ctx.Done():
-	case <-stopped:
+func (s *httpServer) serve() error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	n.log.Info("stopping", "timeout", n.settings.StopTimeout)
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.StopTimeout)
-	defer cancel()
-	n.beginStop(drain)
-	if err := servers.caller.Shutdown(drain); err != nil {
-		return fmt.Errorf("finish callers' requests: %w", err)
-	}
-	if err := n.drainTarget(drain); err != nil {
-		return err
-	}
-	if err := servers.onward.Shutdown(drain); err != nil {
-		return fmt.Errorf("finish onward calls: %w", err)
-	}
-	return nil
+	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
 }
 
-func (n *Node) drainTarget(ctx context.Context) error {
-	for n.admitter.Pending() > 0 {
-		select {
-		case <-n.clock.After(drainPoll):
-		case <-ctx.Done():
-			return fmt.Errorf("finish calls on the target: %d left: %w", n.admitter.Pending(), ctx.Err())
-		}
-	}
-	return nil
+func (s *httpServer) close() {
+	s.listener.Release()
+	_ = s.server.Close()
 }
--- /dev/null
+++ b/internal/sdnode/stop.go
@@ -0,0 +1,204 @@
+package sdnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sddrain"
+	"github.com/savorydeal/savorydeal/internal/sdkeepalive"
+	"github.com/savorydeal/savorydeal/internal/sdlink"
+)
+
+// drainPoll is how often a stop looks at what is in flight.
+const drainPoll = 10 * time.Millisecond
+
+// ErrStopTimeout means that the stop timeout passed before the work in flight
+// was finished.
+var ErrStopTimeout = errors.New("stop timeout passed with work in flight")
+
+// stopState is what a stop needs to know of the node's work.
+type stopState struct {
+	// callers holds the connections of callers, local those of the target and
+	// of operators.
+	callers *sdkeepalive.Set
+	local   *sdkeepalive.Set
+	// peerCalls counts calls of other nodes whose answer is not written.
+	peerCalls atomic.Int64
+	// refuseKeyed is true once records are handed over: a keyed call that came
+	// later could run again at the next owner.
+	refuseKeyed atomic.Bool
+	phase       atomic.Pointer[sddrain.Phase]
+	// handOvers give other nodes what they rely on. They are set before Run.
+	handOvers []func(ctx context.Context) error
+}
+
+func (s *stopState) init() {
+	s.callers = sdkeepalive.NewSet()
+	s.local = sdkeepalive.NewSet()
+	s.setPhase(sddrain.PhaseServing)
+}
+
+func (s *stopState) setPhase(phase sddrain.Phase) {
+	s.phase.Store(&phase)
+}
+
+// count counts the calls of other nodes from their head to the last byte of
+// their answer.
+func (s *stopState) count(next sdlink.Handler) sdlink.Handler {
+	return func(ctx context.Context, stream *sdlink.Stream) {
+		s.peerCalls.Add(1)
+		defer s.peerCalls.Add(-1)
+		next(ctx, stream)
+	}
+}
+
+// guardKeyed refuses keyed calls of other nodes once records are handed over.
+func (s *stopState) guardKeyed(next savorydeal.Carrier) savorydeal.Carrier {
+	return &keyedGuard{stop: s, next: next}
+}
+
+type keyedGuard struct {
+	stop *stopState
+	next savorydeal.Carrier
+}
+
+// Carry refuses or passes on.
+func (g *keyedGuard) Carry(ctx context.Context, call savorydeal.Call, body io.ReadCloser) (savorydeal.Answer, error) {
+	if g.stop.refuseKeyed.Load() {
+		_ = body.Close()
+		return savorydeal.Answer{}, &savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeNotRun,
+			Reason:  savorydeal.ReasonStopping,
+			Detail:  "the node that owns the key is stopping; repeat the request",
+		}
+	}
+	return g.next.Carry(ctx, call, body)
+}
+
+func (n *Node) inFlight() sddrain.InFlight {
+	callers, local := n.stop.callers.Counts(), n.stop.local.Counts()
+	return sddrain.InFlight{
+		CallerConnections:   callers.Open,
+		AnsweredConnections: callers.Answered + local.Answered,
+		TargetCalls:         n.admitter.Pending(),
+		PeerCalls:           int(n.stop.peerCalls.Load()),
+		LocalConnections:    local.Open,
+	}
+}
+
+// stopRun is one stop under way.
+type stopRun struct {
+	node       *Node
+	drain      *sddrain.Drain
+	servers    *httpServers
+	handedOver chan struct{}
+}
+
+// waitAndStop waits for the end of ctx and drains the node.
+func (n *Node) waitAndStop(ctx context.Context, servers *httpServers, stopped <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+	case <-stopped:
+		return nil
+	}
+	n.log.Info("stopping", "timeout", n.settings.StopTimeout, "grace", n.settings.StopGrace)
+	s := &stopRun{
+		node:       n,
+		drain:      sddrain.New(n.settings.StopTimeout, n.settings.StopGrace),
+		servers:    servers,
+		handedOver: make(chan struct{}, 1),
+	}
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.settings.StopTimeout)
+	defer cancel()
+	return s.run(bounded)
+}
+
+func (s *stopRun) run(ctx context.Context) error {
+	s.act(ctx, s.drain.Signal(s.node.clock.Now()))
+	for s.drain.Phase() != sddrain.PhaseStopped {
+		select {
+		case <-s.node.clock.After(drainPoll):
+			s.act(ctx, s.drain.Observe(s.node.clock.Now(), s.node.inFlight()))
+		case <-s.handedOver:
+			s.act(ctx, s.drain.HandedOver(s.node.clock.Now()))
+		}
+	}
+	result := s.drain.Result()
+	if !result.Forced {
+		return nil
+	}
+	left := result.Left
+	return fmt.Errorf("phase %s: %d caller connections, %d target calls, %d calls of other nodes, %d local connections: %w",
+		result.Phase, left.CallerConnections, left.TargetCalls, left.PeerCalls, left.LocalConnections, ErrStopTimeout)
+}
+
+func (s *stopRun) act(ctx context.Context, actions []sddrain.Action) {
+	if phase := s.drain.Phase(); phase != *s.node.stop.phase.Load() {
+		s.node.log.Info("stop", "phase", string(phase))
+		s.node.stop.setPhase(phase)
+	}
+	for _, action := range actions {
+		switch action {
+		case sddrain.ActionAnnounceLeaving:
+			s.node.stop.callers.MarkLast()
+			s.node.beginStop(ctx)
+		case sddrain.ActionRefuseCallers:
+			s.servers.caller.listener.Drain()
+			s.node.stop.callers.Refuse()
+		case sddrain.ActionHandOver:
+			s.node.stop.refuseKeyed.Store(true)
+			go s.handOver(ctx)
+		case sddrain.ActionRefuseLocal:
+			for _, server := range s.servers.local() {
+				server.listener.Drain()
+			}
+			s.node.stop.local.Refuse()
+		case sddrain.ActionEnd:
+			s.node.stop.callers.Close()
+			s.node.stop.local.Close()
+		}
+	}
+}
+
+// handOver gives records to other nodes. What does not arrive in time is
+// logged; the stop goes on.
+func (s *stopRun) handOver(ctx context.Context) {
+	now := s.node.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.drain.HandOverDeadline(now).Sub(now))
+	defer cancel()
+	for _, handOver := range s.node.stop.handOvers {
+		if err := handOver(ctx); err != nil {
+			s.node.log.Warn("hand-over incomplete", "error", err)
+		}
+	}
+	s.handedOver <- struct{}{}
+}
+
+// stopDump is the dump of a stop.
+type stopDump struct {
+	Phase             string `json:"phase"`
+	CallerConnections int    `json:"caller_connections"`
+	Answered          int    `json:"answered_connections"`
+	TargetCalls       int    `json:"target_calls"`
+	PeerCalls         int    `json:"peer_calls"`
+	LocalConnections  int    `json:"local_connections"`
+	Refused           int    `json:"refused_connections"`
+}
+
+func (n *Node) dumpStop() stopDump {
+	inFlight := n.inFlight()
+	return stopDump{
+		Phase:             string(*n.stop.phase.Load()),
+		CallerConnections: inFlight.CallerConnections,
+		Answered:          inFlight.AnsweredConnections,
+		TargetCalls:       inFlight.TargetCalls,
+		PeerCalls:         inFlight.PeerCalls,
+		LocalConnections:  inFlight.LocalConnections,
+		Refused:           n.stop.callers.Counts().Refused + n.stop.local.Counts().Refused,
+	}
+}
--- a/internal/sdrig/rig.go
+++ b/internal/sdrig/rig.go
@@ -37,6 +37,7 @@
 	portTarget   = 9000
 
 	stopTimeout = 20 * time.Second
+	stopGrace   = time.Second
 	readyPoll   = 20 * time.Millisecond
 )
 
@@ -156,6 +157,7 @@
 		MeetingPoints:   []string{fmt.Sprintf("%s:%d", r.address(1), portPeer)},
 		PlatformURL:     r.PlatformURL,
 		StopTimeout:     stopTimeout,
+		StopGrace:       stopGrace,
 		LogLevel:        "warn",
 	}
 	if spec.Edit != nil {
@@ -223,6 +225,12 @@
 	return n.err
 }
 
+// Wait waits until the node has ended and returns how.
+func (n *Node) Wait() error {
+	<-n.done
+	return n.err
+}
+
 // Signal sends a signal to a node that is a process.
 func (n *Node) Signal(signal os.Signal) error {
 	if n.command == nil {
--- a/internal/sdserve/gate.go
+++ b/internal/sdserve/gate.go
@@ -41,17 +41,30 @@
 // Check returns the state, or the refusal of a call to the service.
 func (g *Gate) Check(now time.Time, service string) (GateState, *savorydeal.Refusal) {
 	state := *g.state.Load()
+	return state, state.check(now, service)
+}
+
+func (s GateState) check(now time.Time, service string) *savorydeal.Refusal {
 	switch {
-	case state.Stopping:
-		return state, notRun(savorydeal.ReasonStopping, "the node of the target is stopping")
-	case state.Target == savorydeal.TargetLeaving:
-		return state, notRun(savorydeal.ReasonTargetLeaving, "the target is leaving")
-	case state.Target != savorydeal.TargetReady || !now.Before(state.Expires):
-		return state, notRun(savorydeal.ReasonNoTarget, "no target is announced on this VM")
-	case state.Service != service:
-		return state, notRun(savorydeal.ReasonWrongNode, "the target on this VM serves "+state.Service)
+	case s.Stopping:
+		return notRun(savorydeal.ReasonStopping, "the node of the target is stopping")
+	case s.Target == savorydeal.TargetLeaving:
+		return notRun(savorydeal.ReasonTargetLeaving, "the target is leaving")
+	case s.Target != savorydeal.TargetReady || !now.Before(s.Expires):
+		return notRun(savorydeal.ReasonNoTarget, "no target is announced on this VM")
+	case s.Service != service:
+		return notRun(savorydeal.ReasonWrongNode, "the target on this VM serves "+s.Service)
 	}
-	return state, nil
+	return nil
+}
+
+// CheckQueued returns the state, or the refusal of a call that Check let in and
+// that waited for its turn. A stopping node finishes its queue, a leaving
+// target gets nothing more: it may end once no call runs on it.
+func (g *Gate) CheckQueued(now time.Time, service string) (GateState, *savorydeal.Refusal) {
+	state := *g.state.Load()
+	state.Stopping = false
+	return state, state.check(now, service)
 }
 
 func notRun(reason savorydeal.Reason, detail string) *savorydeal.Refusal {
--- a/internal/sdserve/server.go
+++ b/internal/sdserve/server.go
@@ -79,7 +79,7 @@
 
 func (e *execution) run(ctx context.Context, body io.ReadCloser) (savorydeal.Answer, error) {
 	// The target may have begun to leave while the call was queued.
-	gate, refusal := e.server.gate.Check(e.started, e.call.Service)
+	gate, refusal := e.server.gate.CheckQueued(e.started, e.call.Service)
 	if refusal != nil {
 		_ = body.Close()
 		return savorydeal.Answer{}, e.refuse(refusal, savorydeal.RunCanceled)
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -31,7 +31,10 @@
 	PlatformURL string
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
-	LogLevel    string
+	// StopGrace is how long callers are served after the signal while they are
+	// asked to close their connections.
+	StopGrace time.Duration
+	LogLevel  string
 }
 
 const (
@@ -40,6 +43,7 @@
 
 	minStopTimeout = time.Second
 	maxStopTimeout = time.Hour
+	maxStopGrace   = time.Minute
 )
 
 var zonePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
@@ -84,6 +88,7 @@
 		{Flag: "meeting-points", Help: "peer addresses of nodes to join through, separated by commas", read: meetingPoints},
 		{Flag: "platform-url", Help: "base URL of the platform's object API", read: platformURL},
 		{Flag: "stop-timeout", Default: "30s", Help: "longest graceful stop, such as 30s", read: stopTimeout},
+		{Flag: "stop-grace", Default: "3s", Help: "how long callers are served after the signal, at most half of --stop-timeout", read: stopGrace},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", read: logLevel},
 	}
 }
@@ -196,6 +201,15 @@
 	return nil
 }
 
+func stopGrace(settings *Settings, text string) error {
+	parsed, err := time.ParseDuration(text)
+	if err != nil || parsed < 0 || parsed > maxStopGrace {
+		return fmt.Errorf("%q is no duration from 0s to %v; write it like 3s", text, maxStopGrace)
+	}
+	settings.StopGrace = parsed
+	return nil
+}
+
 func logLevel(settings *Settings, text string) error {
 	switch text {
 	case "debug", "info", "warn", "error":
@@ -217,6 +231,7 @@
 		"--region", s.Region,
 		"--platform-url", s.PlatformURL,
 		"--stop-timeout", s.StopTimeout.String(),
+		"--stop-grace", s.StopGrace.String(),
 		"--log-level", s.LogLevel,
 	}
 	if len(s.MeetingPoints) > 0 {
