--- a/internal/sdcommand/node.go
+++ b/internal/sdcommand/node.go
@@ -8,12 +8,14 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/integrii/flaggy"
 
 	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 	"github.com/savorydeal/savorydeal/internal/sdnode"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
 )
@@ -34,6 +36,15 @@
 	ExitStopTimeout = 7
 )
 
+const (
+	// gcPercent trades memory for processor time: a node holds little and
+	// passes much through.
+	gcPercent = 400
+	// memoryLimitBytes makes the collector work harder well below the 256 MB
+	// that a node may use.
+	memoryLimitBytes = 192 << 20
+)
+
 // RunNode runs the node with the arguments and returns its exit code.
 func RunNode(arguments []string, environment func(string) (string, bool), stderr io.Writer) int {
 	ctx, stop := stopSignals(stderr)
@@ -51,6 +62,11 @@
 		log.Error("node failed", "error", err)
 		return ExitFailed
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryLimitBytes)
+	sdinvariant.SetReport(func(v sdinvariant.Violation) {
+		log.Error("invariant broken", "invariant", string(v.Name), "detail", v.Detail)
+	})
 	node := sdnode.New(settings, Version, seed, sdclock.System{}, log)
 	err = node.Run(ctx)
 	switch {
