Calls to the platform: bounded, held back in outages, ramped afterwards

Cause: the client had neither rate nor circuit, so that every operator's request and every watch met a platform that was down, and all nodes came back at once. Three answers to operators were not true: a status 503 on a write counted as proof that nothing was written; "the change was not made" was said also of a change that an earlier request with the same id had made; a read that lagged was called a conflict and named an older version as the current one.

Ruled out: backoff in each caller (every new request begins anew); a write as the probe of an open circuit (its fate would be unknown).

Change: sdcircuit decides without I/O, sdplatform.Guard wires it, metrics and dump show it. The changer reads again when a read lags, and ends unknown.

Before: no test.

Conclusion: a node sends a platform that is down 3 calls, then at most one in 15 s once the backoff is at its longest.

--- /dev/null
+++ b/internal/sdcircuit/circuit_test.go
@@ -0,0 +1,250 @@
+package sdcircuit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdcircuit"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+var _ savorydeal.Random = (*rand.Rand)(nil)
+
+func newCircuit() *sdcircuit.Circuit {
+	return sdcircuit.New(rand.New(rand.NewPCG(1, 2)))
+}
+
+// call asks and, if the call is to be sent, ends it at once.
+func call(c *sdcircuit.Circuit, now time.Time, kind sdcircuit.Kind, result sdcircuit.Result) sdcircuit.Decision {
+	decision := c.Ask(now, kind)
+	if decision.Refused == "" {
+		c.Done(now, decision.Permit, result)
+	}
+	return decision
+}
+
+func expectOpen(t *testing.T, c *sdcircuit.Circuit, now time.Time) {
+	t.Helper()
+	for range 3 {
+		call(c, now, sdcircuit.KindRead, sdcircuit.ResultFailed)
+	}
+	if c.State() != sdcircuit.StateOpen {
+		t.Fatalf("state %s after failures", c.State())
+	}
+}
+
+func TestResultsMoveTheCircuit(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		results []sdcircuit.Result
+		want    sdcircuit.State
+	}{
+		{"answers", []sdcircuit.Result{"answered", "answered"}, sdcircuit.StateClosed},
+		{"two failures", []sdcircuit.Result{"failed", "failed"}, sdcircuit.StateClosed},
+		{"three failures", []sdcircuit.Result{"failed", "failed", "failed"}, sdcircuit.StateOpen},
+		{"failures with an answer between", []sdcircuit.Result{"failed", "failed", "answered", "failed", "failed"}, sdcircuit.StateClosed},
+		{"throttled", []sdcircuit.Result{"throttled", "throttled", "throttled", "throttled"}, sdcircuit.StateClosed},
+		{"askers that went away", []sdcircuit.Result{"abandoned", "abandoned", "abandoned", "abandoned"}, sdcircuit.StateClosed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCircuit()
+			for _, result := range test.results {
+				call(c, start, sdcircuit.KindRead, result)
+			}
+			is.Equal(c.State(), test.want)
+		})
+	}
+}
+
+func TestProbeDecidesOnTheOpenCircuit(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		result sdcircuit.Result
+		want   sdcircuit.State
+	}{
+		{"answered", sdcircuit.ResultAnswered, sdcircuit.StateClosed},
+		{"throttled", sdcircuit.ResultThrottled, sdcircuit.StateClosed},
+		{"failed", sdcircuit.ResultFailed, sdcircuit.StateOpen},
+		{"abandoned", sdcircuit.ResultAbandoned, sdcircuit.StateOpen},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCircuit()
+			expectOpen(t, c, start)
+			early := c.Ask(start, sdcircuit.KindRead)
+			is.Equal(early.Refused, sdcircuit.RefusedOpen)
+			is.True(early.RetryAfter > 0)
+			due := start.Add(early.RetryAfter)
+			is.Equal(c.Ask(due, sdcircuit.KindWrite).Refused, sdcircuit.RefusedOpen) // a write never probes
+			probe := c.Ask(due, sdcircuit.KindWatch)
+			is.True(probe.Permit.Probe())
+			is.Equal(c.Ask(due, sdcircuit.KindRead).Refused, sdcircuit.RefusedOpen) // one probe at a time
+			c.Done(due, probe.Permit, test.result)
+			is.Equal(c.State(), test.want)
+			if test.result == sdcircuit.ResultAbandoned {
+				is.True(c.Ask(due, sdcircuit.KindRead).Permit.Probe()) // the next asker probes
+			}
+		})
+	}
+}
+
+func TestResultOfAnEarlierStateSaysNothing(t *testing.T) {
+	is := is.New(t)
+	c := newCircuit()
+	old := c.Ask(start, sdcircuit.KindWatch)
+	expectOpen(t, c, start)
+	c.Done(start, old.Permit, sdcircuit.ResultAnswered)
+	is.Equal(c.State(), sdcircuit.StateOpen)
+	is.True(c.Stale(old.Permit))
+}
+
+// Probes of many nodes that lost the platform together are spread.
+func TestProbesAreSpread(t *testing.T) {
+	is := is.New(t)
+	const nodes = 200
+	first, last := time.Hour, time.Duration(0)
+	for seed := range uint64(nodes) {
+		c := sdcircuit.New(rand.New(rand.NewPCG(seed, 7)))
+		expectOpen(t, c, start)
+		after := c.Ask(start, sdcircuit.KindRead).RetryAfter
+		first, last = min(first, after), max(last, after)
+	}
+	is.True(first >= sdcircuit.MinBackoff/2)
+	is.True(last <= sdcircuit.MinBackoff*3/2)
+	is.True(last-first > sdcircuit.MinBackoff/2)
+}
+
+// count plays a node that asks every 100 ms and returns the calls sent.
+func count(c *sdcircuit.Circuit, from time.Time, duration time.Duration, up func(since time.Duration) bool) int {
+	sent := 0
+	for since := time.Duration(0); since < duration; since += 100 * time.Millisecond {
+		result := sdcircuit.ResultFailed
+		if up(since) {
+			result = sdcircuit.ResultAnswered
+		}
+		if call(c, from.Add(since), sdcircuit.KindRead, result).Refused == "" {
+			sent++
+		}
+	}
+	return sent
+}
+
+func TestOutageCostsThePlatformLittle(t *testing.T) {
+	is := is.New(t)
+	halfHour := 30 * time.Minute
+	down := count(newCircuit(), start, halfHour, func(time.Duration) bool { return false })
+	// Three failures, some probes until the backoff is at its longest, then
+	// one every 15 s or more.
+	is.True(down <= 3+8+int(halfHour/(sdcircuit.MaxBackoff/2)))
+	is.True(down >= int(halfHour/(sdcircuit.MaxBackoff*3/2)))
+}
+
+// A platform that comes and goes every second would get a fresh start each
+// time if the backoff were forgotten at the first answer.
+func TestFlappingPlatformIsProbedLessOften(t *testing.T) {
+	is := is.New(t)
+	flapping := func(since time.Duration) bool { return since/time.Second%2 == 0 }
+	c := newCircuit()
+	first := count(c, start, time.Minute, flapping)
+	later := count(c, start.Add(10*time.Minute), time.Minute, flapping)
+	is.True(c.Counts().Opened > 3) // the fault was seen
+	is.True(later <= first)
+}
+
+func TestRateRampsAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	c := newCircuit()
+	expectOpen(t, c, start)
+	back := start.Add(time.Minute)
+	call(c, back, sdcircuit.KindRead, sdcircuit.ResultAnswered)
+	is.Equal(c.State(), sdcircuit.StateClosed)
+	sentIn := func(from time.Time, duration time.Duration) int {
+		sent := 0
+		for since := time.Duration(0); since < duration; since += 10 * time.Millisecond {
+			decision := c.Ask(from.Add(since), sdcircuit.KindRead)
+			if decision.Refused == "" && decision.Wait == 0 {
+				c.Done(from.Add(since), decision.Permit, sdcircuit.ResultAnswered)
+				sent++
+			} else if decision.Refused == "" {
+				c.Withdraw(from.Add(since), decision.Permit)
+			}
+		}
+		return sent
+	}
+	firstSecond := sentIn(back, time.Second)
+	is.True(firstSecond <= 3) // a tenth of the rate, and nothing saved up
+	is.True(c.Share(back.Add(time.Second)) < 0.25)
+	is.Equal(c.Share(back.Add(sdcircuit.RampTime)), 1.0)
+}
+
+func TestThrottleCutsTheRate(t *testing.T) {
+	is := is.New(t)
+	c := newCircuit()
+	is.Equal(c.Share(start), 1.0)
+	call(c, start, sdcircuit.KindWrite, sdcircuit.ResultThrottled)
+	is.Equal(c.Share(start), 0.5)
+	for range 20 {
+		call(c, start, sdcircuit.KindWrite, sdcircuit.ResultThrottled)
+	}
+	is.Equal(c.Share(start), 0.1)
+	is.Equal(c.State(), sdcircuit.StateClosed)
+	is.Equal(c.Share(start.Add(sdcircuit.RampTime)), 1.0)
+}
+
+// Any order of asks, results and time: no more calls than the bucket allows,
+// one probe at a time, and never closed for good to a platform that answers.
+func TestCircuitUnderAnyOrder(t *testing.T) {
+	const burst, second = 40, 10.0
+	rapid.Check(t, func(t *rapid.T) {
+		c := sdcircuit.New(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3)))
+		now := start
+		sent, probes := 0, 0
+		var pending []sdcircuit.Permit
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			if len(pending) > 0 && rapid.Bool().Draw(t, "end") {
+				result := rapid.SampledFrom([]sdcircuit.Result{"answered", "throttled", "failed", "abandoned"}).Draw(t, "result")
+				if pending[0].Probe() {
+					probes--
+				}
+				c.Done(now, pending[0], result)
+				pending = pending[1:]
+				continue
+			}
+			kind := rapid.SampledFrom([]sdcircuit.Kind{"read", "write", "watch"}).Draw(t, "kind")
+			decision := c.Ask(now, kind)
+			if decision.Refused != "" {
+				continue
+			}
+			sent++
+			pending = append(pending, decision.Permit)
+			if decision.Permit.Probe() {
+				probes++
+			}
+			if probes > 1 {
+				t.Fatal("two probes at once")
+			}
+			if decision.Wait > sdcircuit.MaxWait {
+				t.Fatalf("wait %v", decision.Wait)
+			}
+		}
+		elapsed := now.Sub(start) + sdcircuit.MaxWait
+		if bound := 2*burst + int(2*second*elapsed.Seconds()) + int(elapsed/(sdcircuit.MinBackoff/2)) + 1; sent > bound {
+			t.Fatalf("%d calls in %v", sent, elapsed)
+		}
+		for _, permit := range pending {
+			c.Done(now, permit, sdcircuit.ResultAnswered)
+		}
+		now = now.Add(2 * sdcircuit.MaxBackoff)
+		if decision := call(c, now, sdcircuit.KindRead, sdcircuit.ResultAnswered); decision.Refused != "" {
+			t.Fatalf("refused %s with a platform that answers", decision.Refused)
+		}
+	})
+}
--- a/internal/sdmetrics/metrics.go
+++ b/internal/sdmetrics/metrics.go
@@ -53,6 +53,16 @@
 	}, read))
 }
 
+// Counter adds a counter that is read when metrics are scraped. What read
+// returns must never fall.
+func (m *Metrics) Counter(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, read))
+}
+
 // Observe counts one request. A service without a policy is counted under one
 // label, since callers choose its name.
 func (m *Metrics) Observe(observation sdentry.Observation) {
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -55,7 +55,7 @@
 		NodesAlive:        n.alive(),
 		Policies:          len(n.Policies().Records()),
 		PoliciesRejected:  int(n.rejected.Load()),
-		PlatformReachable: n.reachable.Load(),
+		PlatformReachable: n.platformReachable(),
 	}
 }
 
@@ -124,6 +124,7 @@
 		section("target", target),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
 		section("stop", n.dumpStop()),
+		section("platform", n.dumpPlatform()),
 	}
 }
 
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -29,6 +29,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
@@ -70,6 +71,7 @@
 	metrics   *sdmetrics.Metrics
 	ids       *identifiers
 	stop      stopState
+	platform  atomic.Pointer[sdplatform.Guard]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
--- /dev/null
+++ b/internal/sdnode/platform.go
@@ -0,0 +1,85 @@
+package sdnode
+
+import (
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdcircuit"
+	"github.com/savorydeal/savorydeal/internal/sdplatform"
+)
+
+// newPlatform returns the platform as this node may use it: within its rate,
+// and not at all while it does not answer. It is called once.
+func (n *Node) newPlatform() (savorydeal.Platform, error) {
+	client, err := sdplatform.New(n.settings.PlatformURL)
+	if err != nil {
+		return nil, err
+	}
+	guard := sdplatform.NewGuard(client, n.clock, n.newRandom())
+	n.platform.Store(guard)
+	n.registerPlatform(guard)
+	return guard, nil
+}
+
+func (n *Node) registerPlatform(guard *sdplatform.Guard) {
+	n.metrics.Gauge("platform_rate_share", "Part of this node's full rate of calls to the platform that is in force.", func() float64 {
+		return guard.Status().Share
+	})
+	n.metrics.Gauge("platform_circuit_open", "1 while calls to the platform are held back because it did not answer.", func() float64 {
+		if guard.Status().State == sdcircuit.StateClosed {
+			return 0
+		}
+		return 1
+	})
+	count := func(name, help string, read func(sdcircuit.Counts) int64) {
+		n.metrics.Counter(name, help, func() float64 { return float64(read(guard.Status().Counts)) })
+	}
+	count("platform_reads_total", "Reads sent to the platform.", func(c sdcircuit.Counts) int64 { return c.Sent[sdcircuit.KindRead] })
+	count("platform_writes_total", "Writes sent to the platform.", func(c sdcircuit.Counts) int64 { return c.Sent[sdcircuit.KindWrite] })
+	count("platform_watches_total", "Watches sent to the platform.", func(c sdcircuit.Counts) int64 { return c.Sent[sdcircuit.KindWatch] })
+	count("platform_throttled_total", "Calls that the platform refused for its rate.", func(c sdcircuit.Counts) int64 { return c.Results[sdcircuit.ResultThrottled] })
+	count("platform_failed_total", "Calls that the platform did not answer.", func(c sdcircuit.Counts) int64 { return c.Results[sdcircuit.ResultFailed] })
+	count("platform_not_sent_open_total", "Calls not sent because the platform did not answer lately.", func(c sdcircuit.Counts) int64 { return c.RefusedOpen })
+	count("platform_not_sent_rate_total", "Calls not sent because this node's rate was used up.", func(c sdcircuit.Counts) int64 { return c.RefusedRate })
+	count("platform_circuit_opened_total", "Times that the circuit to the platform opened.", func(c sdcircuit.Counts) int64 { return c.Opened })
+}
+
+// platformReachable reports whether the last call to the platform was
+// answered, by this node's watch or for an operator.
+func (n *Node) platformReachable() bool {
+	guard := n.platform.Load()
+	return n.reachable.Load() && guard != nil && !guard.Status().Failing
+}
+
+// platformDump is the dump of the calls to the platform.
+type platformDump struct {
+	State       string           `json:"state"`
+	RateShare   float64          `json:"rate_share"`
+	Sent        map[string]int64 `json:"sent"`
+	Results     map[string]int64 `json:"results"`
+	NotSentOpen int64            `json:"not_sent_open"`
+	NotSentRate int64            `json:"not_sent_rate"`
+	Opened      int64            `json:"opened"`
+}
+
+func (n *Node) dumpPlatform() platformDump {
+	guard := n.platform.Load()
+	if guard == nil {
+		return platformDump{}
+	}
+	status := guard.Status()
+	dump := platformDump{
+		State:       string(status.State),
+		RateShare:   status.Share,
+		Sent:        make(map[string]int64),
+		Results:     make(map[string]int64),
+		NotSentOpen: status.Counts.RefusedOpen,
+		NotSentRate: status.Counts.RefusedRate,
+		Opened:      status.Counts.Opened,
+	}
+	for kind, n := range status.Counts.Sent {
+		dump.Sent[string(kind)] = n
+	}
+	for result, n := range status.Counts.Results {
+		dump.Results[string(result)] = n
+	}
+	return dump
+}
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -15,7 +15,6 @@
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeepalive"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
-	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdtarget"
 )
@@ -77,7 +76,7 @@
 		return err
 	}
 	defer l.close()
-	platform, err := sdplatform.New(n.settings.PlatformURL)
+	platform, err := n.newPlatform()
 	if err != nil {
 		return err
 	}
--- a/internal/sdoperator/change.go
+++ b/internal/sdoperator/change.go
@@ -39,12 +39,13 @@
 	return fmt.Sprintf("policy %s has version %d; read it again and repeat the change on it", e.Service, e.Current)
 }
 
-// NotRunError means that the change did not take effect and never will.
+// NotRunError means that this request changed nothing and never will. An
+// earlier one with the same change id may have taken effect.
 type NotRunError struct{ Cause error }
 
 // Error gives the cause.
 func (e *NotRunError) Error() string {
-	return "the change was not made: " + e.Cause.Error()
+	return "this request has changed nothing: " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -76,9 +77,9 @@
 // apply makes the change at most once: a repeat with the same change id
 // returns what the first one did.
 func (c *changer) apply(ctx context.Context, change change) (accepted, error) {
-	current, err := c.read(ctx, change.service)
+	current, err := c.readAtLeast(ctx, change)
 	if err != nil {
-		return accepted{}, &NotRunError{Cause: err}
+		return accepted{}, err
 	}
 	if done, ok := current.find(change.changeID); ok {
 		return done, nil
@@ -101,6 +102,33 @@
 	}
 }
 
+// readAtLeast reads the policy. Versions never go back, so that an older version
+// than the operator has seen is a read that lags; what it lags behind may be
+// this very change, made by an earlier request.
+func (c *changer) readAtLeast(ctx context.Context, change change) (state, error) {
+	for try := 1; ; try++ {
+		current, err := c.read(ctx, change.service)
+		if err != nil {
+			return state{}, &NotRunError{Cause: err}
+		}
+		if current.object.Version >= change.expected {
+			return current, nil
+		}
+		if _, ok := current.find(change.changeID); ok {
+			return current, nil
+		}
+		if try == settleReads {
+			return state{}, &UnknownError{Cause: fmt.Errorf("the platform reads version %d, older than the expected %d",
+				current.object.Version, change.expected)}
+		}
+		select {
+		case <-c.clock.After(settleInterval):
+		case <-ctx.Done():
+			return state{}, &NotRunError{Cause: ctx.Err()}
+		}
+	}
+}
+
 func (c *changer) next(current state, change change) savorydeal.PolicyRecord {
 	record := savorydeal.PolicyRecord{
 		Service:   change.service,
--- a/internal/sdplatform/client.go
+++ b/internal/sdplatform/client.go
@@ -121,7 +121,9 @@
 			return fmt.Errorf("%s %s %s: %w", verb, kind, name, savorydeal.ErrObjectNotFound)
 		case http.StatusConflict:
 			return fmt.Errorf("%s %s %s: %w", verb, kind, name, savorydeal.ErrVersionConflict)
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		// Any other failure may come from something between here and the
+		// platform, after a write took effect.
+		case http.StatusTooManyRequests:
 			return fmt.Errorf("%s %s %s: %w", verb, kind, name, savorydeal.ErrPlatformRefused)
 		}
 	}
