--- a/internal/sdkeepalive/set.go
+++ b/internal/sdkeepalive/set.go
@@ -4,6 +4,7 @@
 package sdkeepalive
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -18,9 +19,9 @@
 const (
 	// refusalTimeout bounds the write of one refusal.
 	refusalTimeout = time.Second
-	// lastAccept bounds the wait for connections that the kernel has completed
-	// but the server has not accepted yet.
-	lastAccept = 20 * time.Millisecond
+	// lastAccept is how long handshakes under way have to complete, and the
+	// server to accept them, before the listener closes.
+	lastAccept = 100 * time.Millisecond
 	// retryAfterSeconds is the least wait before a repeat at another node.
 	retryAfterSeconds = 1
 )
@@ -185,6 +186,14 @@
 	}
 }
 
+// ListenTCP listens on an address in plain TCP: sockets of multipath TCP, which
+// is what net.Listen opens, take no filter.
+func ListenTCP(address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	cfg.SetMultipathTCP(false)
+	return cfg.Listen(context.Background(), "tcp", address)
+}
+
 // Listener accepts connections into a set.
 type Listener struct {
 	net.Listener
@@ -219,11 +228,16 @@
 	return nil, http.ErrServerClosed
 }
 
-// Drain accepts what callers have connected to and then closes the listener.
-// The server stays up for the connections it has; Release ends it.
+// Drain lets no new handshake begin, accepts what callers have connected to and
+// then closes the listener: a close with connections in the kernel's queue
+// would reset them. The server stays up for the connections it has; Release
+// ends it.
 func (l *Listener) Drain() {
 	l.drain.Do(func() {
 		close(l.draining)
+		// Without the filter a few microseconds are left in which a connection
+		// is reset.
+		_ = stopHandshakes(l.Listener)
 		if deadline, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 			_ = deadline.SetDeadline(time.Now().Add(lastAccept))
 			return
--- a/internal/sdkeepalive/set_test.go
+++ b/internal/sdkeepalive/set_test.go
@@ -35,7 +35,7 @@
 
 func startServer(t *testing.T, handler http.HandlerFunc) *server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := sdkeepalive.ListenTCP("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -335,3 +335,50 @@
 	is.Equal(ran.Load()+refused.Load(), int64(peers))
 	is.True(refused.Load() > 0) // the fault was seen
 }
+
+// Callers connect all the time while the listener drains: each connection that
+// is made gets an answer, and the others are refused before they send a byte.
+func TestNoNewConnectionIsResetByTheDrain(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, answer)
+	const dialers = 20
+	var wait sync.WaitGroup
+	var whole, unreached, cut atomic.Int64
+	stop := make(chan struct{})
+	for i := range dialers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for j := 0; ; j++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				conn, err := net.DialTimeout("tcp", s.address, testTimeout)
+				if err != nil {
+					unreached.Add(1)
+					return
+				}
+				_ = conn.SetDeadline(time.Now().Add(testTimeout))
+				_, err = io.WriteString(conn, head(fmt.Sprintf("/%d/%d", i, j)))
+				if err == nil {
+					_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+				}
+				if err != nil {
+					cut.Add(1)
+				} else {
+					whole.Add(1)
+				}
+				_ = conn.Close()
+			}
+		}()
+	}
+	waitFor(t, "load", func() bool { return whole.Load() > 100 })
+	s.listener.Drain()
+	waitFor(t, "listener closed", func() bool { return unreached.Load() > 0 })
+	close(stop)
+	wait.Wait()
+	is.Equal(cut.Load(), int64(0))
+	is.True(unreached.Load() > 0) // the fault was seen
+}
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -54,7 +54,7 @@
 		{n.settings.AnnounceAddress, &l.announce},
 		{n.settings.AdminAddress, &l.admin},
 	} {
-		listener, err := net.Listen("tcp", address.text)
+		listener, err := sdkeepalive.ListenTCP(address.text)
 		if err != nil {
 			for _, earlier := range opened {
 				_ = earlier.Close()
