--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/savorydeal/savorydeal/internal/sdbenchfleet"
 	"github.com/savorydeal/savorydeal/internal/sdbenchpath"
+	"github.com/savorydeal/savorydeal/internal/sdbenchstop"
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sddemo"
 )
@@ -16,5 +17,6 @@
 		{Name: "demo", Help: "the whole path once, with its answers shown", Run: sddemo.Run},
 		{Name: "path", Help: "time that the path of nodes adds to a call", Run: sdbenchpath.Run},
 		{Name: "fleet", Help: "membership, configuration in force and what they cost a node", Run: sdbenchfleet.Run},
+		{Name: "stop", Help: "requests cut and new work on leaving targets during planned stops", Run: sdbenchstop.Run},
 	}, os.Stdout, os.Stderr))
 }
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -57,7 +57,7 @@
 		NodesAlive:        n.alive(),
 		Policies:          len(n.Policies().Records()),
 		PoliciesRejected:  int(n.rejected.Load()),
-		PlatformReachable: n.reachable.Load(),
+		PlatformReachable: n.platformReachable(),
 	}
 }
 
@@ -139,6 +139,8 @@
 		section("unknown_outcomes", n.dumpUnknown()),
 		section("leases", describeLeases(n.clock.Now(), n.fleet.leases.Load())),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
+		section("stop", n.dumpStop()),
+		section("platform", n.dumpPlatform()),
 	}
 }
 
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
@@ -73,6 +74,8 @@
 	router        *sdkeyed.Router
 	metrics       *sdmetrics.Metrics
 	ids           *identifiers
+	stop          stopState
+	platform      atomic.Pointer[sdplatform.Guard]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -95,6 +98,8 @@
 		ids:        newIdentifiers(),
 	}
 	n.control = n.newControl()
+	n.stop.init()
+	n.stop.handOvers = []func(context.Context) error{n.HandKeysOver}
 	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
 	n.poison = sdpoison.New()
 	n.unknown = &sdunknown.Queue{}
@@ -146,8 +151,8 @@
 	n.wireKeyed(relay, tries)
 	n.wirePoison()
 	n.wireUnknown()
-	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
+	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
+	n.links.Handle(sdlink.KindFetch, n.stop.count(calls.ServeFetch))
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
