One randomised run over everything, checked from ledgers

Cause: nothing showed the promises under faults that strike together.

savorydeal-bench soak (make soak SEED=1 FOR=5m) runs nine nodes of the real code in three data centres with stand-ins for targets, platform, callers and operators, and plays thirteen kinds of faults by a seeded schedule: each alone, then pairs and threes. It ends in a check from the callers' and targets' own ledgers, and a fault that did not fire is a finding too. A faulty network stands where nodes dial one another (sdlink.Dialer): it cuts, stalls and silences connections.

Ruled out: a relay process for each link, since a node's peer address is both its name and its listener; pausing an in-process node, of which the stalled node is the nearest kin: what is sent to and from it arrives late.

The schedule and the requests are repeated by the seed, sockets and threads are not.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 1
 FOR ?= 5m
 
-.PHONY: demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden fuzz
+.PHONY: demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden soak fuzz
 
 demo:
 	go run ./cmd/savorydeal-bench demo
@@ -60,5 +60,9 @@
 	@mkdir -p docs/measurements
 	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
 
+# One randomised run over everything, with its schedule of faults by SEED.
+soak:
+	go run ./cmd/savorydeal-bench soak --seed $(SEED) -- $(FOR)
+
 fuzz:
 	go test ./internal/sdwire -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZ_TIME)
--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -8,11 +8,13 @@
 	"github.com/savorydeal/savorydeal/internal/sdbenchpath"
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sddemo"
+	"github.com/savorydeal/savorydeal/internal/sdsoak"
 )
 
 func main() {
 	os.Exit(sdcommand.RunBench(os.Args[1:], []sdcommand.Measure{
 		{Name: "demo", Help: "the whole path once, with its answers shown", Run: sddemo.Run},
 		{Name: "path", Help: "time that the path of nodes adds to a call", Run: sdbenchpath.Run},
+		{Name: "soak", Help: "one randomised run over everything; its argument is how long, such as 5m", Run: sdsoak.Measure},
 	}, os.Stdout, os.Stderr))
 }
--- a/internal/sdlink/link.go
+++ b/internal/sdlink/link.go
@@ -6,8 +6,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -80,6 +80,7 @@
 	pending  map[string]*dial
 	accepted map[*yamux.Session]struct{}
 	closed   bool
+	dialer   atomic.Pointer[Dialer]
 }
 
 type dial struct {
@@ -185,7 +186,7 @@
 }
 
 func (l *Links) dial(address string, attempt *dial) {
-	attempt.session, attempt.err = connect(address)
+	attempt.session, attempt.err = l.connect(address)
 	l.mu.Lock()
 	delete(l.pending, address)
 	if attempt.err == nil && l.closed {
@@ -199,8 +200,8 @@
 	close(attempt.done)
 }
 
-func connect(address string) (*yamux.Session, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+func (l *Links) connect(address string) (*yamux.Session, error) {
+	conn, err := l.dialPeer(address)
 	if err != nil {
 		return nil, fmt.Errorf("open link to %s: %w", address, err)
 	}
--- /dev/null
+++ b/internal/sdsoak/network_test.go
@@ -0,0 +1,98 @@
+package sdsoak
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdrig"
+)
+
+// echo serves one peer that sends back what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func exchange(conn net.Conn) (byte, error) {
+	if _, err := conn.Write([]byte{7}); err != nil {
+		return 0, err
+	}
+	var got [1]byte
+	_, err := io.ReadFull(conn, got[:])
+	return got[0], err
+}
+
+func expectSoon(t *testing.T, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if err := sdrig.WaitUntil(ctx, condition); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCutStallsAndHeals(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	to := echo(t)
+	conn, err := n.dialer("a")(to)
+	is.NoErr(err)
+	defer conn.Close()
+	n.setCut(func(from, _ string) bool { return from == "a" })
+	_, err = n.dialer("a")(to)
+	is.True(err != nil)
+	other, err := n.dialer("b")(to)
+	is.NoErr(err)
+	defer other.Close()
+	done := make(chan byte)
+	go func() {
+		got, _ := exchange(conn)
+		done <- got
+	}()
+	expectSoon(t, func() bool { return n.stalled.Load() > 0 })
+	n.setCut(nil)
+	is.Equal(<-done, byte(7))
+	is.Equal(n.refused.Load(), int64(1))
+}
+
+func TestSilentConnectionSwallowsForGood(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork()
+	to := echo(t)
+	conn, err := n.dialer("a")(to)
+	is.NoErr(err)
+	is.Equal(n.silence(func(from, _ string) bool { return from == "a" }), 1)
+	ended := make(chan error)
+	go func() {
+		_, err := exchange(conn)
+		ended <- err
+	}()
+	expectSoon(t, func() bool { return n.swallowed.Load() > 0 })
+	fresh, err := n.dialer("a")(to)
+	is.NoErr(err)
+	defer fresh.Close()
+	got, err := exchange(fresh)
+	is.NoErr(err)
+	is.Equal(got, byte(7))
+	_ = conn.Close()
+	is.True(<-ended != nil)
+}
--- /dev/null
+++ b/internal/sdsoak/stops.go
@@ -0,0 +1,42 @@
+package sdsoak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+
+	"github.com/savorydeal/savorydeal"
+)
+
+// checkPlannedStops looks for requests that were cut off in phases whose only
+// fault is a rolling stop.
+func checkPlannedStops(requests []Request, phases []PhaseResult) []Finding {
+	planned := make(map[int]bool)
+	for i, seen := range phases {
+		if slices.Equal(seen.Phase.Kinds, []Kind{KindRollingStop}) {
+			planned[i+1] = true
+		}
+	}
+	var findings []Finding
+	for _, request := range requests {
+		for _, attempt := range request.Attempts {
+			if planned[attempt.Phase] && cutOff(attempt) {
+				findings = append(findings, Finding{FindingCutOff, fmt.Sprintf("%s %s at %s in phase %d: %s %s %v", request.Method, request.ID,
+					attempt.Entry, attempt.Phase, attempt.Result.Outcome, attempt.Result.Reason, attempt.Result.Err)})
+			}
+		}
+	}
+	return findings
+}
+
+// cutOff tells a request that had been taken on from one that found no
+// listener.
+func cutOff(attempt Attempt) bool {
+	if attempt.Result.Err == nil {
+		// Without an owner the request was never taken on.
+		return attempt.Result.Outcome == savorydeal.OutcomeUnknown && attempt.Result.Reason != savorydeal.ReasonKeyOwnerUnknown
+	}
+	var dial *net.OpError
+	return !errors.As(attempt.Result.Err, &dial) || dial.Op != "dial"
+}
