--- a/internal/sdentry/whole.go
+++ b/internal/sdentry/whole.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdinvariant"
@@ -16,15 +15,3 @@
 		return fmt.Sprintf("request %s was sent %d bytes of %d as a whole answer", call.Chain.RequestID, sent, end.BodyBytes)
 	})
 }
-
-type countingReader struct {
-	r io.Reader
-	n int64
-}
-
-// Read reads and counts.
-func (c *countingReader) Read(p []byte) (int, error) {
-	n, err := c.r.Read(p)
-	c.n += int64(n)
-	return n, err
-}
--- a/internal/sdsoak/faults.go
+++ b/internal/sdsoak/faults.go
@@ -70,16 +70,15 @@
 }
 
 func (r *runner) slowDeep() fault {
-	set := func(factor int64) error {
+	set := func(factor int64) {
 		for _, v := range r.world.of(serviceDeep) {
 			_, target := v.parts()
 			target.SetSlowdown(factor)
 		}
-		return nil
 	}
 	return fault{
-		start: func(context.Context) error { return set(deepSlowdown) },
-		stop:  func(context.Context) error { return set(1) },
+		start: func(context.Context) error { set(deepSlowdown); return nil },
+		stop:  func(context.Context) error { set(1); return nil },
 		fired: since(r.slowRuns),
 	}
 }
--- a/internal/sdsoak/ledger_test.go
+++ b/internal/sdsoak/ledger_test.go
@@ -32,10 +32,10 @@
 	return sdstandcaller.Result{Status: http.StatusServiceUnavailable, Outcome: outcome, Reason: reason}
 }
 
-func ran(id string, times int) TargetRuns {
+func ran(times int) TargetRuns {
 	target := TargetRuns{Service: serviceFront}
 	for range times {
-		target.Runs = append(target.Runs, sdstandtarget.Run{LedgerID: id, Method: http.MethodPost, Started: time.Unix(100, 0), Ended: time.Unix(101, 0)})
+		target.Runs = append(target.Runs, sdstandtarget.Run{LedgerID: "a", Method: http.MethodPost, Started: time.Unix(100, 0), Ended: time.Unix(101, 0)})
 	}
 	return target
 }
@@ -43,9 +43,9 @@
 func TestLedgerChecks(t *testing.T) {
 	notRun := refused(savorydeal.OutcomeNotRun, savorydeal.ReasonQueueFull)
 	unknown := refused(savorydeal.OutcomeUnknown, savorydeal.ReasonLinkLost)
-	left := ran("a", 1)
+	left := ran(1)
 	left.Left = time.Unix(94, 0)
-	justLeft := ran("a", 1)
+	justLeft := ran(1)
 	justLeft.Left = time.Unix(96, 0)
 	cases := []struct {
 		name    string
@@ -53,15 +53,15 @@
 		targets []TargetRuns
 		want    []FindingKind
 	}{
-		{"run once and answered", signOff("a", whole("a")), []TargetRuns{ran("a", 1)}, nil},
-		{"run twice on one target", signOff("a", whole("a")), []TargetRuns{ran("a", 2)}, []FindingKind{FindingRunTwice}},
-		{"run on two targets", signOff("a", whole("a")), []TargetRuns{ran("a", 1), ran("a", 1)}, []FindingKind{FindingRunTwice}},
-		{"another's answer", signOff("a", whole("b")), []TargetRuns{ran("a", 1)}, []FindingKind{FindingCrossed}},
-		{"a short answer", signOff("a", sdstandcaller.Result{Status: 200, Outcome: savorydeal.OutcomeAnswered, Body: "review"}), []TargetRuns{ran("a", 1)}, []FindingKind{FindingCrossed}},
+		{"run once and answered", signOff("a", whole("a")), []TargetRuns{ran(1)}, nil},
+		{"run twice on one target", signOff("a", whole("a")), []TargetRuns{ran(2)}, []FindingKind{FindingRunTwice}},
+		{"run on two targets", signOff("a", whole("a")), []TargetRuns{ran(1), ran(1)}, []FindingKind{FindingRunTwice}},
+		{"another's answer", signOff("a", whole("b")), []TargetRuns{ran(1)}, []FindingKind{FindingCrossed}},
+		{"a short answer", signOff("a", sdstandcaller.Result{Status: 200, Outcome: savorydeal.OutcomeAnswered, Body: "review"}), []TargetRuns{ran(1)}, []FindingKind{FindingCrossed}},
 		{"an answer from nowhere", signOff("a", whole("a")), nil, []FindingKind{FindingNoRun}},
-		{"refused as not run and run", signOff("a", notRun), []TargetRuns{ran("a", 1)}, []FindingKind{FindingFalseNotRun}},
-		{"not run after a try that may have run", signOff("a", unknown, notRun), []TargetRuns{ran("a", 1)}, nil},
-		{"unknown and run", signOff("a", unknown), []TargetRuns{ran("a", 1)}, nil},
+		{"refused as not run and run", signOff("a", notRun), []TargetRuns{ran(1)}, []FindingKind{FindingFalseNotRun}},
+		{"not run after a try that may have run", signOff("a", unknown, notRun), []TargetRuns{ran(1)}, nil},
+		{"unknown and run", signOff("a", unknown), []TargetRuns{ran(1)}, nil},
 		{"new work 6 s after leaving", signOff("a", whole("a")), []TargetRuns{left}, []FindingKind{FindingWorkAfterLeft}},
 		{"new work 4 s after leaving", signOff("a", whole("a")), []TargetRuns{justLeft}, nil},
 	}
