--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -10,6 +10,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdbenchstop"
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sddemo"
+	"github.com/savorydeal/savorydeal/internal/sdsoak"
 )
 
 func main() {
@@ -18,5 +19,6 @@
 		{Name: "path", Help: "time that the path of nodes adds to a call", Run: sdbenchpath.Run},
 		{Name: "fleet", Help: "membership, configuration in force and what they cost a node", Run: sdbenchfleet.Run},
 		{Name: "stop", Help: "requests cut and new work on leaving targets during planned stops", Run: sdbenchstop.Run},
+		{Name: "soak", Help: "one randomised run over everything; its argument is how long, such as 5m", Run: sdsoak.Measure},
 	}, os.Stdout, os.Stderr))
 }
--- a/internal/sdcarrier/exchange.go
+++ b/internal/sdcarrier/exchange.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
 	"github.com/savorydeal/savorydeal/internal/sdwire"
@@ -61,7 +62,9 @@
 		refusal := sdwire.DecodeRefusal(kind.Refusal)
 		return savorydeal.Answer{}, &refusal
 	case *sdpeerpb.CallFrame_Answer:
-		if answered := kind.Answer.GetTryId(); answered != tryID {
+		answered := kind.Answer.GetTryId()
+		sdinvariant.AnswerToOwnRequest.Check(answered == tryID, func() string { return "asked " + tryID + ", answered " + answered })
+		if answered != tryID {
 			return savorydeal.Answer{}, fmt.Errorf("peer answered try %q where %q was asked", answered, tryID)
 		}
 		answer := sdwire.DecodeAnswerHead(kind.Answer)
