--- /dev/null
+++ b/internal/sdcarrier/invariant_test.go
@@ -0,0 +1,42 @@
+package sdcarrier_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdcarrier"
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+	"github.com/savorydeal/savorydeal/internal/sdlink"
+	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
+)
+
+// crossed answers every call as if it were another try.
+func crossed(_ context.Context, stream *sdlink.Stream) {
+	var frame sdpeerpb.CallFrame
+	_ = stream.Read(&frame)
+	_ = stream.Send(&sdpeerpb.CallFrame{Frame: &sdpeerpb.CallFrame_Answer{Answer: &sdpeerpb.AnswerHead{Status: 200, TryId: "other"}}})
+}
+
+func TestNodeThatAnswersAnotherTry(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	far := sdlink.New(sdlink.Identity{Node: "far"}, sdclock.System{}, hclog.NewNullLogger())
+	far.Handle(sdlink.KindCall, crossed)
+	go func() { _ = far.Serve(context.Background(), listener) }()
+	near := sdlink.New(sdlink.Identity{Node: "near"}, sdclock.System{}, hclog.NewNullLogger())
+	defer far.Close()
+	defer near.Close()
+	client := &sdcarrier.Client{Links: near, Address: listener.Addr().String(), Kind: sdlink.KindCall}
+	is.True(sdinvariant.AnswerToOwnRequest.Bites(func() {
+		call, body := callOf("mine", "")
+		_, err = client.Carry(testContext(t), call, body)
+	}))
+	is.True(err != nil) // the caller sees a failure, never the other answer
+	_ = listener.Close()
+}
--- a/internal/sdinvariant/all.go
+++ b/internal/sdinvariant/all.go
@@ -32,6 +32,11 @@
 		Promise:  "Every caller receives the complete answer to their own request.",
 		Mutation: "a carrier that ends a body before its announced length",
 	}
+	AnswerToOwnRequest = &Invariant{
+		Name:     "answer_to_own_request",
+		Promise:  "Every caller receives the answer to their own request, and never another's.",
+		Mutation: "a node that answers a stream with the answer to another try",
+	}
 	NoVersionReversal = &Invariant{
 		Name:     "no_version_reversal",
 		Promise:  "An accepted configuration never reverts to an older one.",
@@ -62,7 +67,7 @@
 // All lists the invariants.
 func All() []*Invariant {
 	return []*Invariant{
-		AtMostOnce, NoRepeatAfterUnknown, NotRunIsTrue, OneVerdict, RetryBound, WholeAnswer,
+		AtMostOnce, NoRepeatAfterUnknown, NotRunIsTrue, OneVerdict, RetryBound, WholeAnswer, AnswerToOwnRequest,
 		NoVersionReversal, NoWorkWhenLeaving, RoutableTarget, ClassOrder, AdmissionBound,
 	}
 }
--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -11,8 +11,10 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // Status is what a node says of itself.
@@ -27,7 +29,10 @@
 
 // InForce says which nodes run a version of a policy.
 type InForce struct {
-	InForce     int
+	InForce          int
+	LaggingCount     int
+	UnreachableCount int
+	// Lagging and Unreachable name the first of them.
 	Lagging     []savorydeal.NodeID
 	Unreachable []savorydeal.NodeID
 }
@@ -48,6 +53,13 @@
 	// InForce asks which nodes run at least the version.
 	InForce(ctx context.Context, service string, version int64) InForce
 	Dump(ctx context.Context) []Section
+	// UnknownOutcomes lists the outcomes of a service; an error means that
+	// some may lack.
+	UnknownOutcomes(ctx context.Context, service, key string) ([]sdunknown.Outcome, error)
+	Poison() []sdpoison.Entry
+	// ReleasePoison lets a request run again and returns how many nodes have
+	// been told, and which could not be.
+	ReleasePoison(ctx context.Context, fingerprint sdpoison.Fingerprint) (int, []savorydeal.NodeID)
 }
 
 // Server implements the operators' schema.
@@ -159,14 +171,14 @@
 	return &record, nil
 }
 
-const inForcePoll = 100 * time.Millisecond
+const inForcePoll = 250 * time.Millisecond
 
 // WaitInForce waits until a version is in force.
 func (s *Server) WaitInForce(ctx context.Context, params sdoperatorapi.WaitInForceParams) (*sdoperatorapi.InForce, error) {
 	end := s.clock.Now().Add(time.Duration(params.WaitMs) * time.Millisecond)
 	for {
 		seen := s.node.InForce(ctx, params.Service, params.Version)
-		if len(seen.Lagging) == 0 || !s.clock.Now().Before(end) {
+		if seen.LaggingCount == 0 || !s.clock.Now().Before(end) {
 			return inForceToAPI(params, seen), nil
 		}
 		select {
@@ -179,11 +191,14 @@
 
 func inForceToAPI(params sdoperatorapi.WaitInForceParams, seen InForce) *sdoperatorapi.InForce {
 	return &sdoperatorapi.InForce{
-		Service:     params.Service,
-		Version:     params.Version,
-		InForce:     seen.InForce,
-		Lagging:     names(seen.Lagging),
-		Unreachable: names(seen.Unreachable),
+		Service: params.Service,
+		Version: params.Version,
+		InForce: seen.InForce,
+
+		LaggingCount:     seen.LaggingCount,
+		UnreachableCount: seen.UnreachableCount,
+		Lagging:          names(seen.Lagging),
+		Unreachable:      names(seen.Unreachable),
 	}
 }
 
