--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -17,20 +17,18 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
-	"github.com/savorydeal/savorydeal/internal/sdadmission"
 	"github.com/savorydeal/savorydeal/internal/sdcarrier"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
-	"github.com/savorydeal/savorydeal/internal/sdlimit"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
 	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
+	"github.com/savorydeal/savorydeal/internal/sdpressure"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
-	"github.com/savorydeal/savorydeal/internal/sdretry"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
 	"github.com/savorydeal/savorydeal/internal/sdunknown"
@@ -72,6 +70,7 @@
 	// unknownRandom spreads the writes of unknown outcomes.
 	unknownRandom *rand.Rand
 	router        *sdkeyed.Router
+	door          *sdpressure.Carrier
 	metrics       *sdmetrics.Metrics
 	ids           *identifiers
 	stop          stopState
@@ -100,7 +99,7 @@
 	n.control = n.newControl()
 	n.stop.init()
 	n.stop.handOvers = []func(context.Context) error{n.HandKeysOver}
-	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.placement = n.newPlacement()
 	n.poison = sdpoison.New()
 	n.unknown = &sdunknown.Queue{}
 	n.unknownRandom = n.newRandom()
@@ -135,12 +134,12 @@
 	n.policies.Store(sdpolicy.NewTable(nil))
 	n.members.Store(&[]savorydeal.Member{n.member()})
 	n.chains = sdchain.NewTable(func(bits []byte) { _, _ = cryptorand.Read(bits) })
-	n.admitter = sdserve.NewAdmitter(n.clock, sdadmission.New(sdlimit.NewFixed(firstSlots)))
+	n.admitter = sdserve.NewAdmitter(n.clock, newAdmission(n.settings.Overload))
 	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
 		Placement:  n.leasedPlacement(),
-		Retries:    sdretry.New(n.newRandom()),
+		Retries:    n.newRetries(),
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
@@ -149,6 +148,7 @@
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
 	n.wireKeyed(relay, tries)
+	n.door = n.newDoor(n.router)
 	n.wirePoison()
 	n.wireUnknown()
 	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
@@ -180,7 +180,7 @@
 		Log:          n.log.Named("entry"),
 		Policies:     n.Policies,
 		Chains:       n.chains,
-		Next:         n.router,
+		Next:         n.door,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
 		KeyPrefix:    n.owner.Prefix,
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -39,6 +39,8 @@
 	// TestLoss is the share of datagrams between nodes that are dropped on
 	// purpose, for tests of loss.
 	TestLoss float64
+	// Overload is not set by flags; see its type.
+	Overload Overload
 }
 
 const (
