--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -17,23 +17,21 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
-	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdcarrier"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
-	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
-	"github.com/savorydeal/savorydeal/internal/sdkeys"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdplatform"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdpressure"
-	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
-	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // firstSlots bounds the calls on a target until it has announced its slots; no
@@ -48,6 +46,7 @@
 	log        hclog.Logger
 	self       savorydeal.NodeID
 	generation uint64
+	randomMu   sync.Mutex
 	random     *rand.Rand
 
 	events    chan controlEvent
@@ -56,6 +55,7 @@
 	members   atomic.Pointer[[]savorydeal.Member]
 	rejected  atomic.Int64
 	reachable atomic.Bool
+	fleet     fleet
 
 	links     *sdlink.Links
 	placement *sdplacement.Chooser
@@ -64,10 +64,17 @@
 	server    *sdserve.Server
 	chains    *sdchain.Table
 	owner     *sdkeyed.Owner
-	router    *sdkeyed.Router
-	door      *sdpressure.Carrier
-	metrics   *sdmetrics.Metrics
-	ids       *identifiers
+	parts     *sdkeyed.Parts
+	poison    *sdpoison.Table
+	unknown   *sdunknown.Queue
+	// unknownRandom spreads the writes of unknown outcomes.
+	unknownRandom *rand.Rand
+	router        *sdkeyed.Router
+	door          *sdpressure.Carrier
+	metrics       *sdmetrics.Metrics
+	ids           *identifiers
+	stop          stopState
+	platform      atomic.Pointer[sdplatform.Guard]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -89,20 +96,24 @@
 		metrics:    sdmetrics.New(),
 		ids:        newIdentifiers(),
 	}
-	n.control = control{
-		roster: sdroster.New(n.member(), settings.MeetingPoints, n.newRandom()),
-		store:  sdconfig.NewStore(sdrecord.DecodeValue),
-		lease:  sdannounce.NewLease(),
-	}
+	n.control = n.newControl()
+	n.stop.init()
+	n.stop.handOvers = []func(context.Context) error{n.HandKeysOver}
 	n.placement = n.newPlacement()
+	n.poison = sdpoison.New()
+	n.unknown = &sdunknown.Queue{}
+	n.unknownRandom = n.newRandom()
 	n.wireTraffic()
 	n.registerGauges()
+	n.registerFleetGauges()
 	return n
 }
 
 // newRandom returns a source of its own for one decision, since sources are
 // not safe for concurrent use.
 func (n *Node) newRandom() *rand.Rand {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
 	return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
 }
 
@@ -127,27 +138,21 @@
 	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
-		Placement:  n.placement,
+		Placement:  n.leasedPlacement(),
 		Retries:    n.newRetries(),
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
+		Poison:     n.poison,
 	}
-	n.owner = sdkeyed.NewOwner(n.clock, sdkeys.New(), relay)
-	n.router = &sdkeyed.Router{
-		Self:    n.self,
-		Members: n.Members,
-		Owner:   n.owner,
-		Unkeyed: relay,
-		OwnerAt: n.ownerAt,
-	}
-	n.door = n.newDoor(n.router)
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
-	keyed := &sdcarrier.Server{Carrier: n.owner, Clock: n.clock, Tries: tries, Log: n.log.Named("keyed")}
-	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
-	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
+	n.wireKeyed(relay, tries)
+	n.door = n.newDoor(n.router)
+	n.wirePoison()
+	n.wireUnknown()
+	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
+	n.links.Handle(sdlink.KindFetch, n.stop.count(calls.ServeFetch))
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
@@ -159,10 +164,6 @@
 	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall, NewTryID: n.ids.next}
 }
 
-func (n *Node) ownerAt(member savorydeal.Member) savorydeal.Carrier {
-	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed, NewTryID: n.ids.next}
-}
-
 func (n *Node) retryRatio(service string) float64 {
 	record, ok := n.Policies().Policy(service)
 	if !ok {
@@ -182,6 +183,7 @@
 		Next:         n.door,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
+		KeyPrefix:    n.owner.Prefix,
 	}
 }
 
--- a/internal/sdrig/rig.go
+++ b/internal/sdrig/rig.go
@@ -37,6 +37,7 @@
 	portTarget   = 9000
 
 	stopTimeout = 20 * time.Second
+	stopGrace   = time.Second
 	readyPoll   = 20 * time.Millisecond
 )
 
@@ -82,9 +83,13 @@
 	return rig, nil
 }
 
+// vmsPerBlock keeps the last part of an address below its bound; larger rigs
+// go on in the next block.
+const vmsPerBlock = 250
+
 // address returns the IP address of the rig's n-th VM.
 func (r *Rig) address(n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", r.base[0], r.base[1], n+1)
+	return fmt.Sprintf("127.%d.%d.%d", r.base[0], int(r.base[1])+n/vmsPerBlock, n%vmsPerBlock+1)
 }
 
 // NodeSpec says where a node runs.
@@ -156,6 +161,7 @@
 		MeetingPoints:   []string{fmt.Sprintf("%s:%d", r.address(1), portPeer)},
 		PlatformURL:     r.PlatformURL,
 		StopTimeout:     stopTimeout,
+		StopGrace:       stopGrace,
 		LogLevel:        "warn",
 	}
 	if spec.Edit != nil {
@@ -223,6 +229,12 @@
 	return n.err
 }
 
+// Wait waits until the node has ended and returns how.
+func (n *Node) Wait() error {
+	<-n.done
+	return n.err
+}
+
 // Signal sends a signal to a node that is a process.
 func (n *Node) Signal(signal os.Signal) error {
 	if n.command == nil {
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -31,7 +32,13 @@
 	PlatformURL string
 	// StopTimeout bounds a graceful stop.
 	StopTimeout time.Duration
-	LogLevel    string
+	// StopGrace is how long callers are served after the signal while they are
+	// asked to close their connections.
+	StopGrace time.Duration
+	LogLevel  string
+	// TestLoss is the share of datagrams between nodes that are dropped on
+	// purpose, for tests of loss.
+	TestLoss float64
 	// Overload is not set by flags; see its type.
 	Overload Overload
 }
@@ -42,6 +49,8 @@
 
 	minStopTimeout = time.Second
 	maxStopTimeout = time.Hour
+	maxTestLoss    = 0.9
+	maxStopGrace   = time.Minute
 )
 
 var zonePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
@@ -86,6 +95,8 @@
 		{Flag: "meeting-points", Help: "peer addresses of nodes to join through, separated by commas", read: meetingPoints},
 		{Flag: "platform-url", Help: "base URL of the platform's object API", read: platformURL},
 		{Flag: "stop-timeout", Default: "30s", Help: "longest graceful stop, such as 30s", read: stopTimeout},
+		{Flag: "stop-grace", Default: "3s", Help: "how long callers are served after the signal, at most half of --stop-timeout", read: stopGrace},
+		{Flag: "test-loss", Default: "0", Help: "share of datagrams between nodes to drop, from 0 to 0.9, for tests only", read: testLoss},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", read: logLevel},
 	}
 }
@@ -198,6 +209,24 @@
 	return nil
 }
 
+func testLoss(settings *Settings, text string) error {
+	parsed, err := strconv.ParseFloat(text, 64)
+	if err != nil || parsed < 0 || parsed > maxTestLoss {
+		return fmt.Errorf("%q is no share from 0 to %v; write it like 0.02", text, maxTestLoss)
+	}
+	settings.TestLoss = parsed
+	return nil
+}
+
+func stopGrace(settings *Settings, text string) error {
+	parsed, err := time.ParseDuration(text)
+	if err != nil || parsed < 0 || parsed > maxStopGrace {
+		return fmt.Errorf("%q is no duration from 0s to %v; write it like 3s", text, maxStopGrace)
+	}
+	settings.StopGrace = parsed
+	return nil
+}
+
 func logLevel(settings *Settings, text string) error {
 	switch text {
 	case "debug", "info", "warn", "error":
@@ -219,7 +248,9 @@
 		"--region", s.Region,
 		"--platform-url", s.PlatformURL,
 		"--stop-timeout", s.StopTimeout.String(),
+		"--stop-grace", s.StopGrace.String(),
 		"--log-level", s.LogLevel,
+		"--test-loss", strconv.FormatFloat(s.TestLoss, 'f', -1, 64),
 	}
 	if len(s.MeetingPoints) > 0 {
 		flags = append(flags, "--meeting-points", strings.Join(s.MeetingPoints, ","))
