A trial needs a suspicion; the total is judged on requests that need the bottleneck

Targets of 4 and 5 slots were tried at 3 for 96 calls, a quarter to two fifths of their throughput for four to six of twenty seconds. A trial now begins only if runs at the full limit are 1.3 times as long as runs at half of it, and rounds up.

--- a/internal/sdbenchoverload/judge.go
+++ b/internal/sdbenchoverload/judge.go
@@ -45,6 +45,7 @@
 	run       *run
 	important float64
 	total     float64
+	free      float64
 	afterPart float64
 	classes   map[savorydeal.Class]classResult
 	recovery  time.Duration
@@ -86,7 +87,7 @@
 	spans := r.scenario.triggers(r.timing)
 	res := result{run: r, classes: r.classesIn(spans), reasons: make(map[savorydeal.Reason]int)}
 	res.important = r.importantGoodput(spans)
-	res.total = r.totalGoodput(spans)
+	res.total, res.free = r.totalGoodput(spans)
 	res.afterPart = r.completedPart([]span{{r.timing.calm + r.timing.trigger, r.timing.total()}})
 	res.recovery, res.recovered = r.recovery(spans)
 	res.attemptsCalm, _ = r.attempts([]span{{0, r.timing.calm - calmTail}})
@@ -173,9 +174,11 @@
 	return min(settle, (spans[0].to-spans[0].from)/4)
 }
 
-// totalGoodput is what completed of all requests in the spans after settling,
-// of what the bottleneck's slots allowed and of what needs no bottleneck.
-func (r *run) totalGoodput(spans []span) float64 {
+// totalGoodput is what completed after settling of the requests that pass the
+// bottleneck, of what its slots allowed, and of those that do not pass it, of
+// all. The two are kept apart: many requests that need no bottleneck would hide
+// that hardly any of the others completes.
+func (r *run) totalGoodput(spans []span) (float64, float64) {
 	judged := later(spans, r.settling(spans))
 	bound, free, boundDone, freeDone := 0, 0, 0, 0
 	for _, one := range r.entries {
@@ -196,7 +199,7 @@
 		}
 	}
 	possible := min(float64(bound), r.workCapacity(judged, seconds(judged)))
-	return ratio(float64(boundDone)+min(float64(freeDone), float64(free)), possible+float64(free))
+	return ratio(float64(boundDone), possible), min(1, ratio(float64(freeDone), float64(free)))
 }
 
 func (r *run) classesIn(spans []span) map[savorydeal.Class]classResult {
--- a/internal/sdbenchoverload/overload.go
+++ b/internal/sdbenchoverload/overload.go
@@ -46,7 +46,7 @@
 		timing = quickTiming()
 	}
 	ablation := slices.Contains(options.Arguments, "ablation")
-	jobs := measureJobs(options.Quick)
+	jobs := only(measureJobs(options.Quick), options.Arguments)
 	if ablation {
 		jobs = ablationJobs(options.Arguments)
 	}
@@ -87,6 +87,20 @@
 	return jobs
 }
 
+// only keeps the jobs of the scenarios that are named, or all if none is.
+func only(jobs []job, names []string) []job {
+	var kept []job
+	for _, job := range jobs {
+		if slices.Contains(names, job.scenario.name) {
+			kept = append(kept, job)
+		}
+	}
+	if len(kept) == 0 {
+		return jobs
+	}
+	return kept
+}
+
 // baselineScenario reports whether a baseline is run: a surge of ten times
 // without control needs more open files than one process has.
 func baselineScenario(s scenario) bool {
--- a/internal/sdbenchoverload/report.go
+++ b/internal/sdbenchoverload/report.go
@@ -28,7 +28,7 @@
 
 func columns() []string {
 	return []string{
-		"shape", "scenario", "control", "important", "total", "critical", "high", "normal", "low",
+		"shape", "scenario", "control", "important", "total", "free", "critical", "high", "normal", "low",
 		"recovery s", "after", "tries calm", "tries trigger", "most", "wasted", "fairness", "refused important", "out of order", "reasons",
 	}
 }
@@ -36,7 +36,7 @@
 func row(r result) []string {
 	cells := []string{
 		r.run.shape.name, r.run.scenario.name, r.run.variant.name,
-		fmt.Sprintf("%.3f", r.important), fmt.Sprintf("%.3f", r.total),
+		fmt.Sprintf("%.3f", r.important), fmt.Sprintf("%.3f", r.total), fmt.Sprintf("%.3f", r.free),
 	}
 	for _, class := range savorydeal.Classes() {
 		one := r.classes[class]
--- a/internal/sdlimit/limit_test.go
+++ b/internal/sdlimit/limit_test.go
@@ -145,3 +145,23 @@
 	}
 	is.True(limiter.Limit() < 20) // its own timeouts count
 }
+
+// A target that runs as fast when it is full as when it is not is left alone: a
+// trial would cost a part of its throughput in the middle of a surge.
+func TestHonestTargetIsNotTried(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	limiter := sdlimit.NewTrial(5)
+	full := 0
+	for i := range 4000 {
+		running, queued := 1+i%2, false
+		if i > 1000 {
+			running, queued = limiter.Limit(), true
+			full++
+		}
+		latency := time.Duration(float64(190*time.Millisecond) * math.Exp(0.5*random.NormFloat64()))
+		limiter.Observe(time.Unix(0, 0), savorydeal.LimitSample{Latency: latency, Running: running, Queued: queued, Result: savorydeal.RunSucceeded})
+		is.Equal(limiter.Limit(), 5)
+	}
+	is.True(full > 2000) // long enough for many trials
+}
--- a/internal/sdlimit/trial.go
+++ b/internal/sdlimit/trial.go
@@ -1,6 +1,7 @@
 package sdlimit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,13 @@
 	// wait doubles with every trial that changed nothing.
 	firstTrial   = 96
 	maxTrialWait = 64 * firstTrial
+	// blindWait is that before a first trial when nothing is known of runs
+	// under light load.
+	blindWait = 4 * firstTrial
+	// suspectRatio: a target whose runs under full load are no longer than this
+	// beside those under light load needs no trial, which costs throughput.
+	suspectRatio = 1.3
+	meanWeight   = 0.05
 )
 
 // phase is what a Trial limiter is doing.
@@ -51,6 +59,10 @@
 	latencies []time.Duration
 	base      time.Duration
 	wait      int
+	// light and full are mean latencies in seconds of runs begun at up to half
+	// of the limit and at the limit; 0 while none is known.
+	light float64
+	full  float64
 }
 
 var _ savorydeal.Limiter = (*Trial)(nil)
@@ -93,6 +105,7 @@
 // Observe learns from one finished run.
 func (t *Trial) Observe(now time.Time, sample savorydeal.LimitSample) {
 	t.aimd.Observe(now, sample)
+	t.compare(sample)
 	// Only a run that began while the target was full tells of its limit, and
 	// only if its time was spent here.
 	if sample.Result != savorydeal.RunSucceeded || sample.Onward || !sample.Queued || sample.Running < t.Limit() {
@@ -106,7 +119,7 @@
 		t.latencies = append(t.latencies, sample.Latency)
 	}
 	switch {
-	case t.phase == phaseRest && t.runs >= t.wait:
+	case t.phase == phaseRest && t.runs >= t.wait && t.suspect():
 		t.enter(phaseBase)
 	case t.phase == phaseBase && t.runs >= trialRuns:
 		t.begin()
@@ -115,10 +128,43 @@
 	}
 }
 
+// compare keeps the latencies under light and under full load.
+func (t *Trial) compare(sample savorydeal.LimitSample) {
+	if sample.Result != savorydeal.RunSucceeded || sample.Onward {
+		return
+	}
+	latency := sample.Latency.Seconds()
+	switch {
+	case sample.Running >= t.Limit():
+		t.full = mean(t.full, latency)
+	case sample.Running <= max(1, t.Limit()/2):
+		t.light = mean(t.light, latency)
+	}
+}
+
+func mean(known, latency float64) float64 {
+	if known == 0 {
+		return latency
+	}
+	return known + meanWeight*(latency-known)
+}
+
+// suspect reports whether the target may run more than it has room for. A slow
+// target looks the same at first; the trial tells.
+func (t *Trial) suspect() bool {
+	if t.cap < t.slots {
+		return true
+	}
+	if t.light == 0 {
+		return t.runs >= blindWait
+	}
+	return t.full > suspectRatio*t.light
+}
+
 // begin starts a trial if there is a lower limit to try.
 func (t *Trial) begin() {
 	t.base = middleMean(t.latencies)
-	t.tried = int(float64(t.Limit()) * trialPart)
+	t.tried = int(math.Ceil(float64(t.Limit()) * trialPart))
 	if t.tried < 1 || t.tried == t.Limit() {
 		t.enter(phaseRest)
 		return
