An RPC that does not fit its schema is answered as a problem with field and remedy

Cause: the generated server answers a body or parameter that does not fit with a bare error_message, without field, remedy or outcome (read in its code, not run before), and bodies of any size were read. Ruled out: checking twice by hand. Change: one error handler for operators and targets; RPC bodies are bounded at 512 KB.

--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
+	"github.com/savorydeal/savorydeal/internal/sdproblem"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
@@ -71,13 +73,20 @@
 
 var _ sdoperatorapi.Handler = (*Server)(nil)
 
+// maxRequestBytes bounds the body of an RPC; a policy is far smaller.
+const maxRequestBytes = 512 << 10
+
 // NewHandler returns the handler of the operators' RPCs.
 func NewHandler(node Node, platform savorydeal.Platform, clock savorydeal.Clock) (http.Handler, error) {
-	return sdoperatorapi.NewServer(&Server{
+	api, err := sdoperatorapi.NewServer(&Server{
 		node:    node,
 		changer: changer{platform: platform, clock: clock},
 		clock:   clock,
-	})
+	}, sdoperatorapi.WithErrorHandler(sdproblem.WriteSchemaError))
+	if err != nil {
+		return nil, fmt.Errorf("operators' schema: %w", err)
+	}
+	return http.MaxBytesHandler(api, maxRequestBytes), nil
 }
 
 // ListPolicies returns the policies in force at this node.
--- a/internal/sdtarget/server.go
+++ b/internal/sdtarget/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdproblem"
 	"github.com/savorydeal/savorydeal/internal/sdtargetapi"
 )
 
@@ -28,7 +29,7 @@
 // NewHandler returns the handler of the announce address. ttl is how long an
 // announcement holds.
 func NewHandler(announcer Announcer, ttl time.Duration) (http.Handler, error) {
-	return sdtargetapi.NewServer(&server{announcer: announcer, ttl: ttl})
+	return sdtargetapi.NewServer(&server{announcer: announcer, ttl: ttl}, sdtargetapi.WithErrorHandler(sdproblem.WriteSchemaError))
 }
 
 // AnnounceTarget takes one announcement.
