--- a/internal/sdbenchfleet/phases.go
+++ b/internal/sdbenchfleet/phases.go
@@ -76,6 +76,8 @@
 // spread of the start ends.
 const settle = 5 * time.Second
 
+const changeSettle = time.Second
+
 // measureChanges changes a policy through different nodes and takes the time
 // from the operator's request until each node has taken it.
 func (f *fleet) measureChanges(ctx context.Context, changes int) error {
@@ -91,6 +93,8 @@
 			return err
 		}
 		version = put
+		// The nodes say later when they took it; asking at once would slow them.
+		time.Sleep(changeSettle)
 		times := make(chan time.Duration, f.size)
 		err = f.waitAll(ctx, func(node *sdrig.Node) bool {
 			taken, ok := takenAt(ctx, node, "stock", version)
@@ -182,8 +186,8 @@
 }
 
 // measureDeath kills a node with a target and takes the time until no node
-// would send it new work: those that use it have no lease left, the others do
-// not hold it as alive.
+// would send it new work: none has a lease left. A node that had none can get
+// none any more.
 func (f *fleet) measureDeath(ctx context.Context) error {
 	node := f.nodes[f.size-3]
 	f.gone[node] = true
@@ -197,11 +201,16 @@
 			return ok && allowed(seen)
 		})
 	}
-	err := unseen(func(seen view) bool { return !seen.leased && seen.state != string(savorydeal.MemberAlive) })
+	err := unseen(func(seen view) bool { return !seen.leased })
 	f.measured.detect = time.Since(began)
 	if err != nil {
 		return err
 	}
+	err = unseen(func(seen view) bool { return seen.state != string(savorydeal.MemberAlive) })
+	f.measured.suspected = time.Since(began)
+	if err != nil {
+		return err
+	}
 	err = unseen(func(seen view) bool { return seen.state == string(savorydeal.MemberDead) })
 	f.measured.dead = time.Since(began)
 	return err
--- a/internal/sdbenchfleet/report.go
+++ b/internal/sdbenchfleet/report.go
@@ -25,7 +25,7 @@
 		sdbench.Machine(), 100*loss)
 	rows := [][]string{{
 		"nodes", "all know all (s)", "config p50 (s)", "p99 (s)", "max (s)", "leaving known by all (s)",
-		"dead unseen by routing (s)", "dead in all views (s)", "suspicions", "false deaths", "requests", "cut",
+		"dead unseen by routing (s)", "suspect in all views (s)", "dead in all views (s)", "suspicions", "false deaths", "requests", "cut",
 		"runs after leaving", "bytes/s mean", "bytes/s max", "core % mean", "core % max", "MB mean", "platform calls/s",
 	}}
 	for _, one := range all {
@@ -33,7 +33,7 @@
 		rows = append(rows, []string{
 			strconv.Itoa(one.nodes), seconds(one.joinTime),
 			seconds(quantile(one.config, 0.5)), seconds(quantile(one.config, 0.99)), seconds(quantile(one.config, 1)),
-			seconds(one.leaving), seconds(one.detect), seconds(one.dead),
+			seconds(one.leaving), seconds(one.detect), seconds(one.suspected), seconds(one.dead),
 			strconv.Itoa(one.suspicions), strconv.Itoa(one.falseDeaths), strconv.Itoa(one.requests), strconv.Itoa(one.cutRequests),
 			strconv.Itoa(one.sentLater), fmt.Sprintf("%.0f", one.meanBytes), fmt.Sprintf("%.0f", one.maxBytes),
 			fmt.Sprintf("%.2f", one.meanCore), fmt.Sprintf("%.2f", one.maxCore), fmt.Sprintf("%.1f", one.meanRSS/(1<<20)),
--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -106,7 +106,7 @@
 	parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed and not made, 2 wrong words, 3 conflict, 4 fate unknown, 5 accepted but not in force in time."
 
 	policy := flaggy.NewSubcommand("policy")
-	policy.Description = "put, get, list, delete, history, wait"
+	policy.Description = "put, get, list, delete, history, wait, status"
 	parser.AttachSubcommand(policy, 1)
 	commands := policyCommands(o, policy)
 	for _, plain := range []struct {
@@ -144,6 +144,8 @@
 	wait := add("wait", "wait until a version is in force")
 	wait.AddPositionalValue(&o.service, "SERVICE", 1, true, "service the policy is of")
 	wait.Int64(&o.version, "v", "at-least", "version to wait for; without it the newest")
+	status := add("status", "how many nodes have each policy in force, or one policy")
+	status.AddPositionalValue(&o.service, "SERVICE", 1, false, "service the policy is of; without it all")
 	for _, change := range []*flaggy.Subcommand{put, remove} {
 		change.Int64(&o.expected, "e", "expected", "version the change is made on, 0 for none; without it the newest")
 		change.String(&o.changeID, "i", "change-id", "id that makes a repeat of this change harmless; without it a new one")
@@ -158,6 +160,7 @@
 		{put, runPut},
 		{remove, runDelete},
 		{wait, runWait},
+		{status, runPolicyStatus},
 	}
 }
 
--- /dev/null
+++ b/internal/sdconfig/report_test.go
@@ -0,0 +1,119 @@
+package sdconfig_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdconfig"
+)
+
+func dataCentre(count int) []savorydeal.Member {
+	var members []savorydeal.Member
+	for i := range count {
+		members = append(members, savorydeal.Member{
+			Node: savorydeal.NodeID(fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250+1)), DataCentre: "dc1", State: savorydeal.MemberAlive,
+		})
+	}
+	return members
+}
+
+func allSlots() []int {
+	slots := make([]int, sdconfig.SlotsPerDataCentre)
+	for i := range slots {
+		slots[i] = i
+	}
+	return slots
+}
+
+func TestCollectorTellsInForceLaggingAndUnreachable(t *testing.T) {
+	key := sdconfig.Key{Name: "orders"}
+	members := dataCentre(1)
+	node := members[0].Node
+	ours := sdconfig.NewStore(decode)
+	ours.Apply([]savorydeal.Object{object(5)})
+	for _, test := range []struct {
+		name    string
+		report  []sdconfig.Report
+		at      time.Time
+		version int64
+		state   savorydeal.MemberState
+		want    sdconfig.Answer
+	}{
+		{"in force", []sdconfig.Report{{Node: node, Digest: ours.InForceDigest()}}, epoch, 5, savorydeal.MemberAlive, sdconfig.Answer{InForce: 1}},
+		{"newer asked for than the collector has", []sdconfig.Report{{Node: node, Digest: ours.InForceDigest()}}, epoch, 6, savorydeal.MemberAlive, sdconfig.Answer{Lagging: 1, NamedLagging: []savorydeal.NodeID{node}}},
+		{"other digest", []sdconfig.Report{{Node: node, Digest: 1}}, epoch, 5, savorydeal.MemberAlive, sdconfig.Answer{Lagging: 1, NamedLagging: []savorydeal.NodeID{node}}},
+		{"never reported", nil, epoch, 5, savorydeal.MemberAlive, sdconfig.Answer{Unreachable: 1, NamedUnreachable: []savorydeal.NodeID{node}}},
+		{"report too old", []sdconfig.Report{{Node: node, Digest: ours.InForceDigest()}}, epoch.Add(time.Minute), 5, savorydeal.MemberAlive, sdconfig.Answer{Unreachable: 1, NamedUnreachable: []savorydeal.NodeID{node}}},
+		{"dead", nil, epoch, 5, savorydeal.MemberDead, sdconfig.Answer{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			collector := sdconfig.NewCollector()
+			for _, report := range test.report {
+				collector.Take(epoch, report)
+			}
+			members[0].State = test.state
+			query := sdconfig.Query{Key: key, Version: test.version, Slots: allSlots()}
+			is.Equal(collector.Answer(test.at, query, ours, members, "dc1"), test.want)
+		})
+	}
+}
+
+// A node that holds a newer version which it cannot read does not have it in
+// force, and its digest says so.
+func TestUnreadableVersionIsNotInForce(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := sdconfig.NewStore(decode), sdconfig.NewStore(decode)
+	ours.Apply([]savorydeal.Object{object(5)})
+	theirs.Apply([]savorydeal.Object{object(4), unreadable(5)})
+	is.True(ours.InForceDigest() != theirs.InForceDigest())
+	theirs.Apply([]savorydeal.Object{object(6)})
+	ours.Apply([]savorydeal.Object{object(6)})
+	is.Equal(ours.InForceDigest(), theirs.InForceDigest())
+}
+
+// However many nodes a data centre has, a query goes to at most one collector
+// a slot, and only few nodes name themselves in its answer.
+func TestMessagesOfAQueryAreBounded(t *testing.T) {
+	is := is.New(t)
+	members := dataCentre(2700)
+	distinct := make(map[savorydeal.NodeID]bool)
+	for _, collector := range sdconfig.Collectors(members, "dc1") {
+		distinct[collector] = true
+	}
+	is.True(len(distinct) <= sdconfig.SlotsPerDataCentre)
+	answer := sdconfig.NewCollector().Answer(epoch, sdconfig.Query{Slots: allSlots()}, sdconfig.NewStore(decode), members, "dc1")
+	is.Equal(answer.Unreachable, 2700)
+	is.Equal(len(answer.NamedUnreachable), sdconfig.MaxNamed)
+}
+
+func TestWatchersAreFewAndMoveOnlyWithTheirNode(t *testing.T) {
+	is := is.New(t)
+	members := dataCentre(100)
+	before := sdconfig.Watchers(members, "dc1")
+	is.Equal(len(before), sdconfig.WatchersPerDataCentre)
+	for i := range members {
+		if members[i].Node == before[0] {
+			members[i].State = savorydeal.MemberDead
+		}
+	}
+	after := sdconfig.Watchers(members, "dc1")
+	is.Equal(after[0], before[1])
+	is.Equal(len(sdconfig.Watchers(members, "dc2")), 0)
+}
+
+func TestReportsFollowChanges(t *testing.T) {
+	is := is.New(t)
+	var reporter sdconfig.Reporter
+	report := sdconfig.Report{Node: "a", Digest: 1}
+	is.True(reporter.Due(epoch, report, "collector"))
+	is.True(!reporter.Due(epoch.Add(time.Second), report, "collector"))
+	is.True(reporter.Due(epoch.Add(time.Second), report, "other collector"))
+	report.Digest = 2
+	is.True(reporter.Due(epoch.Add(time.Second), report, "other collector"))
+	is.True(reporter.Due(epoch.Add(time.Minute), report, "other collector"))
+}
--- /dev/null
+++ b/internal/sdgossip/codec_test.go
@@ -0,0 +1,139 @@
+package sdgossip_test
+
+import (
+	"context"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdconfig"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
+	"github.com/savorydeal/savorydeal/internal/sdroster"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// datagramBound is what passes any usual link in one piece.
+const datagramBound = 1400
+
+func member(name string) savorydeal.Member {
+	return savorydeal.Member{
+		Node: savorydeal.NodeID(name), PeerAddress: name, Generation: 1_700_000_000_000_000_000, Incarnation: 3,
+		DataCentre: "ub-1", Region: "ub", State: savorydeal.MemberAlive, Service: "orders",
+		TargetState: savorydeal.TargetReady, ReadySince: now.Add(-time.Minute), Slots: 140,
+	}
+}
+
+func members(count int) []savorydeal.Member {
+	var all []savorydeal.Member
+	for range count {
+		all = append(all, member("10.128.254.201:7000"))
+	}
+	return all
+}
+
+func digests() []uint64 {
+	all := make([]uint64, 64)
+	for i := range all {
+		all[i] = ^uint64(i)
+	}
+	return all
+}
+
+func datagrams() map[string]sdgossip.Datagram {
+	believed := savorydeal.Member{
+		Node: "10.0.0.2:7000", PeerAddress: "10.0.0.2:7000", Generation: 5, Incarnation: 2, State: savorydeal.MemberSuspect,
+	}
+	object := savorydeal.Object{Kind: "policy", Name: "orders", Version: 9, Value: []byte("{}")}
+	return map[string]sdgossip.Datagram{
+		"ping": {ConfigDigest: 7, Membership: &sdroster.Message{
+			Kind: sdroster.KindPing, Sequence: 4, Self: member("10.0.0.1:7000"), Believed: believed, Members: members(8),
+		}},
+		"ask":      {Membership: &sdroster.Message{Kind: sdroster.KindAsk, Sequence: 4, Believed: believed}},
+		"same":     {Membership: &sdroster.Message{Kind: sdroster.KindSame, Sequence: 4}},
+		"ping_for": {Membership: &sdroster.Message{Kind: sdroster.KindPingFor, Self: member("10.0.0.1:7000"), Subject: "10.0.0.3:7000"}},
+		"branches": {Membership: &sdroster.Message{Kind: sdroster.KindBranches, Self: member("10.0.0.1:7000"), Digests: digests()}},
+		"leaf":     {Membership: &sdroster.Message{Kind: sdroster.KindLeaf, Self: member("10.0.0.1:7000"), Index: 4095, Members: members(12)}},
+		"value":    {Config: &sdconfig.Message{Kind: sdconfig.KindValue, Objects: []savorydeal.Object{object}}},
+		"other kind": {Config: &sdconfig.Message{Kind: sdconfig.KindAnnounce, Items: []sdconfig.Item{
+			{Key: sdconfig.Key{Kind: "key_map", Name: "orders"}, Version: 3}, {Key: sdconfig.Key{Kind: "policy", Name: "orders"}, Version: 2},
+		}}},
+		"report": {Report: &sdconfig.Report{Node: "10.0.0.1:7000", Digest: 5}},
+		"query": {Query: &sdconfig.Query{
+			Sequence: 8, Key: sdconfig.Key{Kind: "policy", Name: "orders"}, Version: 4, Slots: []int{0, 31},
+		}},
+		"answer": {Answer: &sdconfig.Answer{
+			Sequence: 8, InForce: 3, Lagging: 1, Unreachable: 2, NamedLagging: []savorydeal.NodeID{"10.0.0.1:7000"},
+			NamedUnreachable: []savorydeal.NodeID{"10.0.0.2:7000", "10.0.0.3:7000"},
+		}},
+	}
+}
+
+// normal makes an empty list equal to none, which the wire does not tell apart.
+func normal(datagram sdgossip.Datagram) sdgossip.Datagram {
+	if config := datagram.Config; config != nil && len(config.Objects) == 0 {
+		config.Objects = nil
+	}
+	return datagram
+}
+
+func TestDatagramsComeBackAsTheyWere(t *testing.T) {
+	for name, datagram := range datagrams() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			encoded, err := sdgossip.Encode(datagram, now)
+			is.NoErr(err)
+			is.True(len(encoded) <= datagramBound)
+			decoded, err := sdgossip.Decode(encoded, now)
+			is.NoErr(err)
+			is.True(reflect.DeepEqual(normal(decoded), normal(datagram)))
+		})
+	}
+}
+
+// Ages travel, so that a receiver whose clock is an hour ahead computes the
+// same age.
+func TestAgesTravelInsteadOfTimes(t *testing.T) {
+	is := is.New(t)
+	encoded, err := sdgossip.Encode(datagrams()["ping"], now)
+	is.NoErr(err)
+	ahead := now.Add(time.Hour)
+	decoded, err := sdgossip.Decode(encoded, ahead)
+	is.NoErr(err)
+	is.Equal(ahead.Sub(decoded.Membership.Self.ReadySince), time.Minute)
+}
+
+func TestBytesThatAreNoDatagramAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := sdgossip.Decode([]byte{0xff, 0xff, 0xff}, now)
+	is.True(err != nil)
+}
+
+// The socket counts what it sends and drops what the setting for tests says.
+func TestSocketCountsAndDropsOnPurpose(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	sender, err := sdgossip.Listen("127.0.0.1:0", 0)
+	is.NoErr(err)
+	defer func() { is.NoErr(sender.Close()) }()
+	receiver, err := sdgossip.Listen("127.0.0.1:0", 0.5)
+	is.NoErr(err)
+	taken := make(chan struct{}, 1000)
+	done := make(chan error, 1)
+	go func() {
+		done <- receiver.Serve(ctx, time.Now, func(string, sdgossip.Datagram) { taken <- struct{}{} })
+	}()
+	for receiver.Counts().Dropped == 0 || len(taken) == 0 {
+		is.NoErr(ctx.Err())
+		is.NoErr(sender.Send(receiver.Address(), datagrams()["same"], now))
+		time.Sleep(time.Millisecond)
+	}
+	is.True(sender.Counts().SentBytes > 0)
+	is.True(receiver.Counts().ReceivedBytes < sender.Counts().SentBytes)
+	cancel()
+	is.NoErr(<-done)
+}
--- a/internal/sdgossip/socket.go
+++ b/internal/sdgossip/socket.go
@@ -130,3 +130,8 @@
 		Dropped:           s.dropped.Load(),
 	}
 }
+
+// Address returns the address the socket is bound to.
+func (s *Socket) Address() string {
+	return s.conn.LocalAddr().String()
+}
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -102,27 +102,8 @@
 
 // Dump returns the state of this node by section.
 func (n *Node) Dump(ctx context.Context) []sdoperator.Section {
-	members := []memberDump{}
-	policies := []policyDump{}
-	var target targetDump
-	_ = n.do(ctx, func(c *control) {
-		for _, member := range c.roster.Members() {
-			members = append(members, dumpMember(member))
-		}
-		for _, object := range c.store.Objects() {
-			entry, _ := c.store.Entry(sdconfig.KeyOf(object))
-			policies = append(policies, policyDump{
-				Kind:           object.Kind,
-				Service:        object.Name,
-				NewestVersion:  entry.Newest.Version,
-				InForceVersion: entry.Readable.Version,
-				Rejected:       entry.Rejected,
-				TakenAt:        c.takenAt[sdconfig.KeyOf(object)],
-			})
-		}
-		announcement := c.lease.Announcement()
-		target = targetDump{State: string(c.lease.State(n.clock.Now())), Service: announcement.Service, Address: announcement.Address}
-	})
+	seen, _ := ask(ctx, n, n.dumpControl)
+	members, policies, target := seen.members, seen.policies, seen.target
 	signal := n.admitter.Signal()
 	target.Running, target.Queued, target.Limit = signal.Running, signal.Queued, signal.Limit
 	return []sdoperator.Section{
@@ -134,6 +115,36 @@
 	}
 }
 
+// controlDump is what control state gives to a dump.
+type controlDump struct {
+	members  []memberDump
+	policies []policyDump
+	target   targetDump
+}
+
+func (n *Node) dumpControl(c *control) controlDump {
+	dump := controlDump{members: []memberDump{}, policies: []policyDump{}}
+	for _, member := range c.roster.Members() {
+		dump.members = append(dump.members, dumpMember(member))
+	}
+	for _, object := range c.store.Objects() {
+		entry, _ := c.store.Entry(sdconfig.KeyOf(object))
+		dump.policies = append(dump.policies, policyDump{
+			Kind:           object.Kind,
+			Service:        object.Name,
+			NewestVersion:  entry.Newest.Version,
+			InForceVersion: entry.Readable.Version,
+			Rejected:       entry.Rejected,
+			TakenAt:        c.takenAt[sdconfig.KeyOf(object)],
+		})
+	}
+	announcement := c.lease.Announcement()
+	dump.target = targetDump{
+		State: string(c.lease.State(n.clock.Now())), Service: announcement.Service, Address: announcement.Address,
+	}
+	return dump
+}
+
 func dumpMember(member savorydeal.Member) memberDump {
 	return memberDump{
 		Node:        string(member.Node),
--- a/internal/sdnode/control.go
+++ b/internal/sdnode/control.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// ask runs an event on the control goroutine and returns what it gives. When ctx
+// ends first the event may still run later; its answer then goes to nobody.
+func ask[T any](ctx context.Context, n *Node, event func(c *control) T) (T, error) {
+	answers := make(chan T, 1)
+	err := n.do(ctx, func(c *control) { answers <- event(c) })
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return <-answers, nil
+}
+
 // runControl owns the control state until ctx ends.
 func (n *Node) runControl(ctx context.Context) error {
 	c := &n.control
--- a/internal/sdnode/duty.go
+++ b/internal/sdnode/duty.go
@@ -19,6 +19,9 @@
 	// everywhere.
 	settleTime = 3 * time.Second
 	joinEvery  = 500 * time.Millisecond
+	// joinAgain is how often views are exchanged after the first time.
+	joinAgain      = 2
+	joinAgainAfter = 2 * time.Second
 	// joinAlone is how long the meeting points of the settings are tried
 	// before the platform is asked for others.
 	joinAlone    = 2 * time.Second
@@ -59,7 +62,12 @@
 	n.sleep(ctx, settleTime+time.Duration(random.Float64()*float64(settleTime)))
 }
 
+// expectsOthers is false only for a node whose settings name itself as the only
+// meeting point.
 func (n *Node) expectsOthers() bool {
+	if len(n.settings.MeetingPoints) == 0 {
+		return true
+	}
 	for _, point := range n.settings.MeetingPoints {
 		if point != n.settings.PeerAddress {
 			return true
@@ -94,14 +102,21 @@
 	return nil
 }
 
-// runJoin looks for other nodes until one is known.
+// runJoin looks for other nodes until one is known, and exchanges whole views a
+// few times more, with members at random: what started at the same time was in
+// nobody's view at first.
 func (n *Node) runJoin(ctx context.Context, platform savorydeal.Platform) error {
 	waits := &backoff{random: n.newRandom()}
+	again := joinAgain
 	began := n.clock.Now()
 	askPlatform := began.Add(joinAlone + time.Duration(waits.random.Float64()*float64(joinAlone)))
 	for ctx.Err() == nil {
 		if n.fleet.joined.Load() {
-			n.sleep(ctx, joinEvery)
+			n.sleep(ctx, joinAgainAfter/2+time.Duration(waits.random.Float64()*float64(joinAgainAfter)))
+			if again > 0 {
+				again--
+				n.joinAny(ctx)
+			}
 			continue
 		}
 		if now := n.clock.Now(); !now.Before(askPlatform) {
@@ -110,10 +125,11 @@
 				n.log.Warn("no meeting points from the platform", "error", err)
 			}
 		}
-		var point string
-		var known bool
-		_ = n.do(ctx, func(c *control) { point, known = c.roster.MeetingPoint() })
-		if known {
+		point, err := ask(ctx, n, func(c *control) string {
+			point, _ := c.roster.MeetingPoint()
+			return point
+		})
+		if err == nil && point != "" {
 			n.join(ctx, point)
 		}
 		n.sleep(ctx, joinEvery/2+time.Duration(waits.random.Float64()*float64(joinEvery)))
@@ -121,6 +137,13 @@
 	return nil
 }
 
+func (n *Node) joinAny(ctx context.Context) {
+	addresses, _ := ask(ctx, n, func(c *control) []string { return c.roster.Pick(1) })
+	for _, address := range addresses {
+		n.join(ctx, address)
+	}
+}
+
 // readMeetingPoints adds the meeting points of the platform to those of the
 // settings.
 func (n *Node) readMeetingPoints(ctx context.Context, platform savorydeal.Platform) error {
--- a/internal/sdnode/exchange.go
+++ b/internal/sdnode/exchange.go
@@ -62,11 +62,11 @@
 
 // join exchanges whole views and configuration with a node.
 func (n *Node) join(ctx context.Context, address string) {
-	var messages []*sdpeerpb.ControlMessage
-	_ = n.do(ctx, func(c *control) { messages = n.membersMessages(c)[:1] })
-	for _, message := range messages {
-		n.exchange(ctx, address, message, joinTimeout)
+	messages, err := ask(ctx, n, n.membersMessages)
+	if err != nil {
+		return
 	}
+	n.exchange(ctx, address, messages[0], joinTimeout)
 }
 
 // fetch fetches objects from a node.
@@ -138,8 +138,7 @@
 }
 
 func (n *Node) takeMembers(ctx context.Context, members *sdpeerpb.Members) []*sdpeerpb.ControlMessage {
-	var replies []*sdpeerpb.ControlMessage
-	_ = n.do(ctx, func(c *control) {
+	replies, _ := ask(ctx, n, func(c *control) []*sdpeerpb.ControlMessage {
 		now := n.clock.Now()
 		decoded := make([]savorydeal.Member, 0, len(members.GetMembers()))
 		for _, member := range members.GetMembers() {
@@ -147,22 +146,24 @@
 		}
 		c.roster.Merge(now, decoded)
 		n.publishMembers(c)
-		replies = n.membersMessages(c)
+		replies := n.membersMessages(c)
 		if members.GetPolicyDigest() != c.store.Digest() {
 			replies = append(replies, objectsMessages(c.store.Objects())...)
 		}
+		return replies
 	})
 	return replies
 }
 
 func (n *Node) giveObjects(ctx context.Context, fetch *sdpeerpb.ConfigFetch) []*sdpeerpb.ControlMessage {
-	var objects []savorydeal.Object
-	_ = n.do(ctx, func(c *control) {
+	objects, _ := ask(ctx, n, func(c *control) []savorydeal.Object {
+		var objects []savorydeal.Object
 		for _, name := range fetch.GetObjects() {
 			if entry, ok := c.store.Entry(sdconfig.Key{Kind: name.GetKind(), Name: name.GetName()}); ok {
 				objects = append(objects, entry.Newest)
 			}
 		}
+		return objects
 	})
 	return objectsMessages(objects)
 }
--- a/internal/sdnode/fleet.go
+++ b/internal/sdnode/fleet.go
@@ -137,6 +137,8 @@
 	now := n.clock.Now()
 	leases := c.roster.Leases()
 	n.fleet.leases.Store(leases)
+	stats := c.roster.Stats()
+	n.fleet.stats.Store(&stats)
 	changed := c.roster.TakeChanged()
 	routable := leases.State(now)
 	if !changed && routable == c.routable {
@@ -146,8 +148,6 @@
 		c.publishedAt = now
 		members := c.roster.Members()
 		n.members.Store(&members)
-		stats := c.roster.Stats()
-		n.fleet.stats.Store(&stats)
 		n.fleet.joined.Store(c.roster.Joined())
 		n.publishDuties(c, members)
 	}
--- a/internal/sdnode/inforce.go
+++ b/internal/sdnode/inforce.go
@@ -17,8 +17,8 @@
 	queryRounds = 2
 )
 
-// ask is one collector with the slots it is asked for.
-type ask struct {
+// collectorAsk is one collector with the slots it is asked for.
+type collectorAsk struct {
 	dataCentre string
 	collector  savorydeal.NodeID
 	slots      []int
@@ -50,8 +50,8 @@
 }
 
 // asksFor groups the slots of each data centre by their collectors.
-func asksFor(members []savorydeal.Member) []ask {
-	var asks []ask
+func asksFor(members []savorydeal.Member) []collectorAsk {
+	var asks []collectorAsk
 	done := make(map[string]bool)
 	for _, member := range members {
 		dataCentre := member.DataCentre
@@ -68,7 +68,7 @@
 			if !ok {
 				place = len(asks)
 				places[collector] = place
-				asks = append(asks, ask{dataCentre: dataCentre, collector: collector})
+				asks = append(asks, collectorAsk{dataCentre: dataCentre, collector: collector})
 			}
 			asks[place].slots = append(asks[place].slots, slot)
 		}
@@ -77,24 +77,12 @@
 }
 
 // askCollectors sends one round and returns the asks that got no answer.
-func (n *Node) askCollectors(ctx context.Context, query sdconfig.Query, asks []ask, total *sdconfig.Answer) []ask {
+func (n *Node) askCollectors(ctx context.Context, query sdconfig.Query, asks []collectorAsk, total *sdconfig.Answer) []collectorAsk {
 	answers := make(chan sdconfig.Answer, len(asks))
-	_ = n.do(ctx, func(c *control) {
-		for i := range asks {
-			c.sequence++
-			asks[i].sequence = c.sequence
-			c.queries[c.sequence] = answers
-			one := query
-			one.Sequence = c.sequence
-			one.Slots = asks[i].slots
-			if asks[i].collector == n.self {
-				answer := c.collector.Answer(n.clock.Now(), one, c.store, n.Members(), n.settings.DataCentre)
-				n.takeAnswer(c, answer)
-				continue
-			}
-			n.send(c, string(asks[i].collector), sdgossip.Datagram{Query: &one})
-		}
-	})
+	asks, err := ask(ctx, n, func(c *control) []collectorAsk { return n.sendQueries(c, query, asks, answers) })
+	if err != nil {
+		return nil
+	}
 	answered := make(map[uint64]bool)
 	timeout := n.clock.After(queryWait)
 	for waiting := true; waiting && len(answered) < len(asks); {
@@ -108,18 +96,42 @@
 			waiting = false
 		}
 	}
-	var silent []ask
-	_ = n.do(context.WithoutCancel(ctx), func(c *control) {
-		for _, ask := range asks {
-			if !answered[ask.sequence] {
-				delete(c.queries, ask.sequence)
-				silent = append(silent, ask)
-			}
+	var silent []collectorAsk
+	for _, ask := range asks {
+		if !answered[ask.sequence] {
+			silent = append(silent, ask)
+		}
+	}
+	tidy, cancel := context.WithTimeout(context.WithoutCancel(ctx), queryWait)
+	defer cancel()
+	_ = n.do(tidy, func(c *control) {
+		for _, ask := range silent {
+			delete(c.queries, ask.sequence)
 		}
 	})
 	return silent
 }
 
+// sendQueries sends one round and returns the asks with their sequences.
+func (n *Node) sendQueries(c *control, query sdconfig.Query, asks []collectorAsk, answers chan<- sdconfig.Answer) []collectorAsk {
+	sent := make([]collectorAsk, 0, len(asks))
+	for _, ask := range asks {
+		c.sequence++
+		ask.sequence = c.sequence
+		sent = append(sent, ask)
+		c.queries[c.sequence] = answers
+		one := query
+		one.Sequence = c.sequence
+		one.Slots = ask.slots
+		if ask.collector == n.self {
+			n.takeAnswer(c, c.collector.Answer(n.clock.Now(), one, c.store, n.Members(), n.settings.DataCentre))
+			continue
+		}
+		n.send(c, string(ask.collector), sdgossip.Datagram{Query: &one})
+	}
+	return sent
+}
+
 // takeAnswer hands an answer to who waits for it. Each answer counts once: a
 // repeated datagram finds nobody waiting.
 func (n *Node) takeAnswer(c *control, answer sdconfig.Answer) {
@@ -132,7 +144,7 @@
 }
 
 // countSilent counts the nodes of a collector that gave no answer.
-func (n *Node) countSilent(ask ask, total *sdconfig.Answer) {
+func (n *Node) countSilent(ask collectorAsk, total *sdconfig.Answer) {
 	slots := make(map[int]bool, len(ask.slots))
 	for _, slot := range ask.slots {
 		slots[slot] = true
