A view of 35,000 members costs little to learn, to copy and to tick

Ruled out: leaving the list unsorted, which would starve what was passed on least.

Now: what a node learns when it joins is not passed on, the list is bounded at 512 (comparisons of views find the rest), names are kept in order, and leases are chosen again only when a member of a called service has changed.

--- a/internal/sdnode/exchange.go
+++ b/internal/sdnode/exchange.go
@@ -104,10 +104,32 @@
 			return
 		}
 		n.fleet.linkBytes.Add(int64(proto.Size(&reply)))
-		n.take(ctx, &reply)
+		n.takeReply(ctx, &reply)
 	}
 }
 
+// takeReply takes an answer of this node's own exchange.
+func (n *Node) takeReply(ctx context.Context, reply *sdpeerpb.ControlMessage) {
+	switch kind := reply.GetMessage().(type) {
+	case *sdpeerpb.ControlMessage_Members:
+		_ = n.do(ctx, func(c *control) {
+			now := n.clock.Now()
+			c.roster.Learn(now, decodeMembers(kind.Members, now))
+			n.publishMembers(c)
+		})
+	case *sdpeerpb.ControlMessage_Policies:
+		n.apply(ctx, sdgossip.DecodeObjects(kind.Policies.GetPolicies()))
+	}
+}
+
+func decodeMembers(members *sdpeerpb.Members, now time.Time) []savorydeal.Member {
+	decoded := make([]savorydeal.Member, 0, len(members.GetMembers()))
+	for _, member := range members.GetMembers() {
+		decoded = append(decoded, sdwire.DecodeMember(member, now))
+	}
+	return decoded
+}
+
 // serveControl answers one exchange.
 func (n *Node) serveControl(ctx context.Context, stream *sdlink.Stream) {
 	_ = stream.SetReadDeadline(time.Now().Add(exchangeTimeout))
@@ -140,11 +162,7 @@
 func (n *Node) takeMembers(ctx context.Context, members *sdpeerpb.Members) []*sdpeerpb.ControlMessage {
 	replies, _ := ask(ctx, n, func(c *control) []*sdpeerpb.ControlMessage {
 		now := n.clock.Now()
-		decoded := make([]savorydeal.Member, 0, len(members.GetMembers()))
-		for _, member := range members.GetMembers() {
-			decoded = append(decoded, sdwire.DecodeMember(member, now))
-		}
-		c.roster.Merge(now, decoded)
+		c.roster.Merge(now, decodeMembers(members, now))
 		n.publishMembers(c)
 		replies := n.membersMessages(c)
 		if members.GetPolicyDigest() != c.store.Digest() {
--- a/internal/sdroster/lease.go
+++ b/internal/sdroster/lease.go
@@ -259,6 +259,14 @@
 	return packets
 }
 
+// noteUse notes a change of a member; leases are chosen again if it is of a
+// service that this node calls.
+func (r *Roster) noteUse(member savorydeal.Member) {
+	if _, called := r.leases.interests[member.Service]; called {
+		r.version++
+	}
+}
+
 func (r *Roster) endInterests(now time.Time) {
 	for service, last := range r.leases.interests {
 		if now.Sub(last) > interestTerm {
--- a/internal/sdroster/probe.go
+++ b/internal/sdroster/probe.go
@@ -1,6 +1,7 @@
 package sdroster
 
 import (
+	"slices"
 	"time"
 
 	"github.com/savorydeal/savorydeal"
@@ -279,6 +280,7 @@
 		delete(r.spreading, node)
 		r.changed = true
 	}
+	r.order = slices.DeleteFunc(r.order, func(node savorydeal.NodeID) bool { return r.others[node] == nil })
 	kept := r.dead[:0]
 	for _, node := range r.dead {
 		if r.others[node] != nil {
--- a/internal/sdroster/receive.go
+++ b/internal/sdroster/receive.go
@@ -151,7 +151,7 @@
 	for _, leaf := range leaves {
 		found[leaf] = nil
 	}
-	for _, node := range sortedKeys(r.others) {
+	for _, node := range r.order {
 		known := r.others[node]
 		if !isLive(known.member.State) && now.Sub(known.changed) > passDeathFor {
 			continue
--- a/internal/sdroster/roster.go
+++ b/internal/sdroster/roster.go
@@ -38,6 +38,7 @@
 	// maxPiggyback bounds the members on one message, so that it fits a
 	// datagram.
 	maxPiggyback = 8
+	maxSpreading = 512
 )
 
 type entry struct {
@@ -57,14 +58,18 @@
 	meetingPoints []string
 	random        savorydeal.Random
 	others        map[savorydeal.NodeID]*entry
+	// order holds the keys of others, sorted, so that a view is copied without
+	// a sort.
+	order []savorydeal.NodeID
 	// live holds the members that are alive or suspect.
 	live []savorydeal.NodeID
 	dead []savorydeal.NodeID
 	tree sddigest.Tree
 	// spreading counts how often each changed member was passed on.
 	spreading map[savorydeal.NodeID]int
+	learning  bool
 	changed   bool
-	// version counts the changes of the view.
+	// version counts the changes of members whose services this node calls.
 	version uint64
 
 	sequence  uint64
@@ -175,18 +180,33 @@
 	return r.tellAskers(now)
 }
 
+func (r *Roster) add(node savorydeal.NodeID) *entry {
+	added := &entry{position: -1}
+	r.others[node] = added
+	at, _ := slices.BinarySearch(r.order, node)
+	r.order = slices.Insert(r.order, at, node)
+	return added
+}
+
 // countSelf keeps the own entry in the tree, as others count it.
 func (r *Roster) countSelf() {
 	own := r.others[r.self.Node]
 	if own == nil {
-		own = &entry{position: -1}
-		r.others[r.self.Node] = own
+		own = r.add(r.self.Node)
 	}
 	own.member = r.self
 	r.count(own)
 }
 
-// Merge takes members from a whole view or from a message.
+// Learn takes a whole view when this node joins. What it learns is known to
+// others and is not passed on.
+func (r *Roster) Learn(now time.Time, members []savorydeal.Member) {
+	r.learning = true
+	defer func() { r.learning = false }()
+	r.Merge(now, members)
+}
+
+// Merge takes members and passes on what is new.
 func (r *Roster) Merge(now time.Time, members []savorydeal.Member) {
 	for _, member := range members {
 		r.mergeOne(now, member)
@@ -206,8 +226,7 @@
 		if !isLive(member.State) {
 			return
 		}
-		known = &entry{position: -1}
-		r.others[member.Node] = known
+		known = r.add(member.Node)
 	} else if !newer(member, known.member) {
 		return
 	}
@@ -249,8 +268,9 @@
 	if member.State != savorydeal.MemberSuspect {
 		delete(r.suspects, member.Node)
 	}
+	r.noteUse(known.member)
+	r.noteUse(member)
 	known.member = member
-	r.version++
 	r.place(known)
 	r.count(known)
 	r.spread(member.Node)
@@ -315,8 +335,12 @@
 	}, state)
 }
 
-// spread puts a member on the list of what is passed on.
+// spread puts a member on the list of what is passed on. The list is bounded:
+// what does not fit is left to comparisons of views.
 func (r *Roster) spread(node savorydeal.NodeID) {
+	if node != r.self.Node && (r.learning || len(r.spreading) >= maxSpreading) {
+		return
+	}
 	r.spreading[node] = 0
 }
 
@@ -392,14 +416,12 @@
 
 // Members returns the view, this node first, the others sorted by name.
 func (r *Roster) Members() []savorydeal.Member {
-	members := make([]savorydeal.Member, 0, len(r.others))
-	for node, other := range r.others {
+	members := make([]savorydeal.Member, 0, len(r.order))
+	members = append(members, r.self)
+	for _, node := range r.order {
 		if node != r.self.Node {
-			members = append(members, other.member)
+			members = append(members, r.others[node].member)
 		}
 	}
-	slices.SortFunc(members, func(a, b savorydeal.Member) int {
-		return strings.Compare(string(a.Node), string(b.Node))
-	})
-	return append([]savorydeal.Member{r.self}, members...)
+	return members
 }
--- /dev/null
+++ b/internal/sdroster/roster_bench_test.go
@@ -0,0 +1,76 @@
+package sdroster_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdroster"
+)
+
+// fleetSize is the size the project is designed for.
+const fleetSize = 35_000
+
+func fleetMembers() []savorydeal.Member {
+	members := make([]savorydeal.Member, 0, fleetSize)
+	for i := range fleetSize {
+		address := fmt.Sprintf("10.%d.%d.%d:7000", i/62500, i/250%250, i%250+1)
+		members = append(members, savorydeal.Member{
+			Node: savorydeal.NodeID(address), PeerAddress: address, Generation: uint64(i) + 1, Incarnation: 2,
+			DataCentre: fmt.Sprintf("dc%d", i%13), Region: "r1", State: savorydeal.MemberAlive,
+			Service: fmt.Sprintf("service-%d", i%2900), TargetState: savorydeal.TargetReady, Slots: 100,
+		})
+	}
+	return members
+}
+
+// largeRoster has heard of the whole fleet and has spread what it heard.
+func largeRoster() (*sdroster.Roster, time.Time) {
+	members := fleetMembers()
+	roster := sdroster.New(savorydeal.Member{Node: "10.9.9.9:7000", PeerAddress: "10.9.9.9:7000", Generation: 1}, nil, rand.New(rand.NewPCG(1, 1)))
+	roster.Learn(epoch, members)
+	roster.Interest(epoch, "service-7")
+	return roster, epoch
+}
+
+// BenchmarkView measures the copy of a view, which follows each change, and
+// the memory of the view.
+func BenchmarkView(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	roster, _ := largeRoster()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ResetTimer()
+	for range b.N {
+		_ = roster.Members()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB_view")
+	runtime.KeepAlive(roster)
+}
+
+// BenchmarkReceive measures a ping with its ack.
+func BenchmarkReceive(b *testing.B) {
+	roster, now := largeRoster()
+	members := fleetMembers()
+	b.ResetTimer()
+	for range b.N {
+		from := members[b.N%len(members)]
+		roster.Receive(now, from.PeerAddress, sdroster.Message{Kind: sdroster.KindPing, Self: from})
+	}
+}
+
+// BenchmarkTick measures a quarter of a second of a node at rest.
+func BenchmarkTick(b *testing.B) {
+	roster, now := largeRoster()
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(sdroster.TickInterval)
+		roster.Receive(now, "10.0.0.1:7000", sdroster.Message{Kind: sdroster.KindGossip})
+		roster.Tick(now)
+	}
+}
