--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 1
 FOR ?= 5m
 
-.PHONY: demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden fuzz
+.PHONY: demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden soak fuzz
 
 demo:
 	go run ./cmd/savorydeal-bench demo
@@ -54,11 +54,16 @@
 
 # Rewrites the golden files from what the code gives now.
 golden:
-	go test ./... -update-golden
+	@for folder in $$(go list -f "{{if .TestGoFiles}}{{.Dir}}{{else if .XTestGoFiles}}{{.Dir}}{{end}}" ./... | xargs grep -ls sdgolden --include=*_test.go -r | xargs -n1 dirname | sort -u); do go test $$folder -update-golden || exit 1; done
 
 measure:
 	@mkdir -p docs/measurements
 	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
+	go run ./cmd/savorydeal-bench stop > docs/measurements/stop.md
+
+# One randomised run over everything, with its schedule of faults by SEED.
+soak:
+	go run ./cmd/savorydeal-bench soak --seed $(SEED) -- $(FOR)
 
 fuzz:
 	go test ./internal/sdwire -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZ_TIME)
--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -38,6 +38,9 @@
 	changeID string
 	wait     time.Duration
 	version  int64
+	// key limits a list to one key.
+	key         string
+	fingerprint string
 }
 
 // command is one subcommand: its place on the command line and what it does.
@@ -109,6 +112,7 @@
 	policy.Description = "put, get, list, delete, history, wait, status"
 	parser.AttachSubcommand(policy, 1)
 	commands := policyCommands(o, policy)
+	commands = append(commands, truthCommands(o, parser)...)
 	for _, plain := range []struct {
 		name, help string
 		run        func(context.Context, *client) error
@@ -138,7 +142,7 @@
 	history := add("history", "the newest changes of one policy")
 	history.AddPositionalValue(&o.service, "SERVICE", 1, true, "service the policy is of")
 	put := add("put", "create or replace a policy and wait until it is in force")
-	put.AddPositionalValue(&o.file, "FILE", 1, true, "JSON file of the policy, - for standard input")
+	put.AddPositionalValue(&o.file, "FILE", 1, false, "JSON file of the policy; without it standard input")
 	remove := add("delete", "delete a policy")
 	remove.AddPositionalValue(&o.service, "SERVICE", 1, true, "service the policy is of")
 	wait := add("wait", "wait until a version is in force")
--- a/internal/sdcli/force.go
+++ b/internal/sdcli/force.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return fmt.Errorf("status of %s: %w", record.Service, err)
 		}
-		lagging += seen.LaggingCount.Or(0)
+		lagging += seen.LaggingCount
 		if c.json() {
 			if err := c.printJSON(seen); err != nil {
 				return err
@@ -32,7 +32,7 @@
 		}
 		rows = append(rows, []string{
 			record.Service, fmt.Sprint(record.Version), fmt.Sprint(seen.InForce),
-			fmt.Sprint(seen.LaggingCount.Or(0)), fmt.Sprint(seen.UnreachableCount.Or(0)),
+			fmt.Sprint(seen.LaggingCount), fmt.Sprint(seen.UnreachableCount),
 		})
 	}
 	if !c.json() {
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -57,7 +57,7 @@
 		NodesAlive:        n.alive(),
 		Policies:          len(n.Policies().Records()),
 		PoliciesRejected:  int(n.rejected.Load()),
-		PlatformReachable: n.reachable.Load(),
+		PlatformReachable: n.platformReachable(),
 	}
 }
 
@@ -102,7 +102,10 @@
 
 // Dump returns the state of this node by section.
 func (n *Node) Dump(ctx context.Context) []sdoperator.Section {
-	seen, _ := ask(ctx, n, n.dumpControl)
+	seen, err := ask(ctx, n, n.dumpControl)
+	if err != nil {
+		return []sdoperator.Section{section("error", err.Error())}
+	}
 	members, policies, target := seen.members, seen.policies, seen.target
 	signal := n.admitter.Signal()
 	target.Running, target.Queued, target.Limit = signal.Running, signal.Queued, signal.Limit
@@ -110,8 +113,14 @@
 		section("members", members),
 		section("policies", policies),
 		section("target", target),
+		section("keys", n.dumpKeys()),
+		section("runs", runsDump{Wasted: n.server.Wasted()}),
+		section("poison", dumpPoison(n.Poison())),
+		section("unknown_outcomes", n.dumpUnknown()),
 		section("leases", describeLeases(n.clock.Now(), n.fleet.leases.Load())),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
+		section("stop", n.dumpStop()),
+		section("platform", n.dumpPlatform()),
 	}
 }
 
--- a/internal/sdnode/fleet_test.go
+++ b/internal/sdnode/fleet_test.go
@@ -59,7 +59,7 @@
 	err := sdrig.WaitUntil(ctx, func() bool {
 		var err error
 		seen, err = node.Operators.WaitInForce(ctx, sdoperatorapi.WaitInForceParams{Service: service, Version: version, WaitMs: 1000})
-		return err == nil && seen.InForce == count && seen.LaggingCount.Value == 0 && seen.UnreachableCount.Value == 0
+		return err == nil && seen.InForce == count && seen.LaggingCount == 0 && seen.UnreachableCount == 0
 	})
 	if err != nil {
 		t.Fatalf("version %d of %s is not in force at %d nodes: %+v", version, service, count, seen)
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -22,16 +22,18 @@
 	"github.com/savorydeal/savorydeal/internal/sdchain"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
-	"github.com/savorydeal/savorydeal/internal/sdkeys"
 	"github.com/savorydeal/savorydeal/internal/sdlimit"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdplatform"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
 	"github.com/savorydeal/savorydeal/internal/sdretry"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // firstSlots bounds the calls on a target until it has announced its slots; no
@@ -64,9 +66,16 @@
 	server    *sdserve.Server
 	chains    *sdchain.Table
 	owner     *sdkeyed.Owner
-	router    *sdkeyed.Router
-	metrics   *sdmetrics.Metrics
-	ids       *identifiers
+	parts     *sdkeyed.Parts
+	poison    *sdpoison.Table
+	unknown   *sdunknown.Queue
+	// unknownRandom spreads the writes of unknown outcomes.
+	unknownRandom *rand.Rand
+	router        *sdkeyed.Router
+	metrics       *sdmetrics.Metrics
+	ids           *identifiers
+	stop          stopState
+	platform      atomic.Pointer[sdplatform.Guard]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -89,7 +98,12 @@
 		ids:        newIdentifiers(),
 	}
 	n.control = n.newControl()
+	n.stop.init()
+	n.stop.handOvers = []func(context.Context) error{n.HandKeysOver}
 	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.poison = sdpoison.New()
+	n.unknown = &sdunknown.Queue{}
+	n.unknownRandom = n.newRandom()
 	n.wireTraffic()
 	n.registerGauges()
 	n.registerFleetGauges()
@@ -130,21 +144,15 @@
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
-	}
-	n.owner = sdkeyed.NewOwner(n.clock, sdkeys.New(), relay)
-	n.router = &sdkeyed.Router{
-		Self:    n.self,
-		Members: n.Members,
-		Owner:   n.owner,
-		Unkeyed: relay,
-		OwnerAt: n.ownerAt,
+		Poison:     n.poison,
 	}
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
-	keyed := &sdcarrier.Server{Carrier: n.owner, Clock: n.clock, Tries: tries, Log: n.log.Named("keyed")}
-	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
-	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
+	n.wireKeyed(relay, tries)
+	n.wirePoison()
+	n.wireUnknown()
+	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
+	n.links.Handle(sdlink.KindFetch, n.stop.count(calls.ServeFetch))
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
@@ -156,10 +164,6 @@
 	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall, NewTryID: n.ids.next}
 }
 
-func (n *Node) ownerAt(member savorydeal.Member) savorydeal.Carrier {
-	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed, NewTryID: n.ids.next}
-}
-
 func (n *Node) retryRatio(service string) float64 {
 	record, ok := n.Policies().Policy(service)
 	if !ok {
@@ -179,6 +183,7 @@
 		Next:         n.router,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
+		KeyPrefix:    n.owner.Prefix,
 	}
 }
 
