A node that starts serves callers once it knows the others

It served callers before its first exchange with another node.

Ruled out: calling key_owner_unknown not run (an earlier request with the key may have run); waiting in the measure (callers do not wait either).

TestFirstCallerOfANewNodeIsServed fails without the wait.

--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -95,9 +95,14 @@
 	group.Add(func() error { return n.runControl(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.runWatch(background, platform, sdrecord.KindPolicy) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
-	for _, server := range servers.all() {
+	for _, server := range servers.local() {
 		group.Add(server.serve, func(error) { server.close() })
 	}
+	serveCallers := func() error {
+		n.waitJoined(ctx)
+		return servers.caller.serve()
+	}
+	group.Add(serveCallers, func(error) { servers.caller.close() })
 	stopped := make(chan struct{})
 	group.Add(func() error { return n.waitAndStop(ctx, servers, stopped) }, func(error) { close(stopped) })
 	n.log.Info("node started", "peer_address", n.settings.PeerAddress, "caller_address", n.settings.CallerAddress,
@@ -141,10 +146,6 @@
 	admin    *httpServer
 }
 
-func (s *httpServers) all() []*httpServer {
-	return append(s.local(), s.caller)
-}
-
 // local are the servers of the target and of operators.
 func (s *httpServers) local() []*httpServer {
 	return []*httpServer{s.onward, s.announce, s.admin}
--- a/internal/sdnode/stop_test.go
+++ b/internal/sdnode/stop_test.go
@@ -426,6 +426,39 @@
 	is.NoErr(again.Ready(b.ctx))
 }
 
+// A node that starts keeps its first callers until it knows policies and
+// targets of others.
+func TestFirstCallerOfANewNodeIsServed(t *testing.T) {
+	is := is.New(t)
+	b := newStopBed(t, 4)
+	for range 4 {
+		node, err := b.rig.StartNode(sdrig.NodeSpec{DataCentre: "dc-1", Region: "r-1"})
+		is.NoErr(err)
+		var result sdstandcaller.Result
+		b.waitFor("listening", func() bool {
+			result = b.send(node, front, "/")
+			return result.Err == nil
+		})
+		is.Equal(result.Status, http.StatusOK)
+	}
+}
+
+// A node whose meeting point does not answer serves callers after a while.
+func TestNodeThatIsCutOffServes(t *testing.T) {
+	is := is.New(t)
+	b := newStopBed(t, 4)
+	node, err := b.rig.StartNode(sdrig.NodeSpec{DataCentre: "dc-1", Region: "r-1", Edit: func(s *sdsettings.Settings) {
+		s.MeetingPoints = []string{"127.0.0.1:1"}
+	}})
+	is.NoErr(err)
+	var result sdstandcaller.Result
+	b.waitFor("listening", func() bool {
+		result = b.send(node, "nobody", "/")
+		return result.Err == nil
+	})
+	is.Equal(result.Outcome, savorydeal.OutcomeNotRun)
+}
+
 // A target leaves, falls silent, or dies: the entry node sends it nothing
 // after the stated bound, and calls go to the other target.
 func TestNoNewWorkForATargetThatGoes(t *testing.T) {
