--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -13,6 +13,7 @@
 
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
 const (
@@ -38,6 +39,10 @@
 	changeID string
 	wait     time.Duration
 	version  int64
+
+	certificateFile string
+	keyFile         string
+	authoritiesFile string
 }
 
 // command is one subcommand: its place on the command line and what it does.
@@ -48,11 +53,12 @@
 
 // client runs one command against one node.
 type client struct {
-	options options
-	api     *sdoperatorapi.Client
-	stdin   io.Reader
-	stdout  io.Writer
-	stderr  io.Writer
+	options  options
+	security sdtls.PEM
+	api      *sdoperatorapi.Client
+	stdin    io.Reader
+	stdout   io.Writer
+	stderr   io.Writer
 }
 
 // usageError is a mistake on the command line.
@@ -71,6 +77,7 @@
 func Run(arguments []string, environment func(string) (string, bool), stdin io.Reader, stdout, stderr io.Writer) int {
 	c := &client{stdin: stdin, stdout: stdout, stderr: stderr}
 	parser, commands := build(&c.options, environment)
+	c.security = securityOf(environment)
 	if err := parser.ParseArgs(arguments); err != nil {
 		_, _ = fmt.Fprintln(stderr, "savorydeal:", err)
 		return sdcommand.ExitUsage
@@ -122,6 +129,10 @@
 		parser.AttachSubcommand(sub, 1)
 		commands = append(commands, command{sub: sub, run: plain.run})
 	}
+	security := flaggy.NewSubcommand("security")
+	security.Description = "show, replace"
+	parser.AttachSubcommand(security, 1)
+	commands = append(commands, securityCommands(o, security)...)
 	return parser, commands
 }
 
@@ -165,7 +176,7 @@
 	if format := outputFormat(c.options.output); format != outputTable && format != outputJSON {
 		return &usageError{text: fmt.Sprintf("--output %q: use table or json", c.options.output)}
 	}
-	api, err := sdoperatorapi.NewClient("http://" + c.options.admin)
+	api, err := c.connect()
 	if err != nil {
 		return &usageError{text: fmt.Sprintf("--admin %q: %v", c.options.admin, err)}
 	}
--- a/internal/sdkeepalive/conn.go
+++ b/internal/sdkeepalive/conn.go
@@ -27,6 +27,11 @@
 	written chan struct{}
 }
 
+// NetConn returns the connection as it was accepted.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Read reads for the server. Bytes that arrive after the refusal belong to a
 // request that the refusal answers; the server does not get them.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/sdlink/link.go
+++ b/internal/sdlink/link.go
@@ -6,8 +6,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -96,6 +96,7 @@
 	accepted map[*yamux.Session]struct{}
 	closed   bool
 	silent   int
+	dialer   atomic.Pointer[Dialer]
 }
 
 type dial struct {
@@ -221,7 +222,7 @@
 }
 
 func (l *Links) connect(address string) (*link, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := l.dialPeer(address)
 	if err != nil {
 		return nil, fmt.Errorf("open link to %s: %w", address, err)
 	}
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -13,7 +13,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operators)
 	mux.Handle("GET /metrics", n.metrics.Handler())
-	return mux
+	return n.guardRole(mux)
 }
 
 func (n *Node) registerGauges() {
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -37,6 +37,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
 // firstSlots bounds the calls on a target until it has announced its slots; no
@@ -72,6 +73,7 @@
 	ids       *identifiers
 	stop      stopState
 	platform  atomic.Pointer[sdplatform.Guard]
+	keeper    atomic.Pointer[sdtls.Keeper]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -17,6 +17,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdtarget"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
 const (
@@ -75,7 +76,10 @@
 	if err != nil {
 		return err
 	}
-	defer l.close()
+	defer func() { l.close() }()
+	if err := n.secure(&l); err != nil {
+		return err
+	}
 	platform, err := n.newPlatform()
 	if err != nil {
 		return err
@@ -157,6 +161,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       sdtls.ConnContext,
 	}
 	set.Attach(server)
 	return &httpServer{server: server, listener: set.Listen(listener)}
--- /dev/null
+++ b/internal/sdnode/security_test.go
@@ -0,0 +1,198 @@
+package sdnode_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdrig"
+	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdstandauthority"
+	"github.com/savorydeal/savorydeal/internal/sdstandcaller"
+	"github.com/savorydeal/savorydeal/internal/sdstandtarget"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
+)
+
+const certificateLife = 10 * time.Hour
+
+// secureBed is a fleet whose nodes have certificates of one authority.
+type secureBed struct {
+	t         *testing.T
+	ctx       context.Context
+	rig       *sdrig.Rig
+	authority *sdstandauthority.Authority
+}
+
+func newSecureBed(t *testing.T) *secureBed {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), stopTestTimeout)
+	t.Cleanup(cancel)
+	rig, err := sdrig.New(sdrig.Discard())
+	expectNoError(t, err)
+	t.Cleanup(rig.Close)
+	return &secureBed{t: t, ctx: ctx, rig: rig, authority: newTestAuthority(t)}
+}
+
+func newTestAuthority(t *testing.T) *sdstandauthority.Authority {
+	t.Helper()
+	authority, err := sdstandauthority.New("test", time.Now())
+	expectNoError(t, err)
+	return authority
+}
+
+func sign(t *testing.T, authority *sdstandauthority.Authority, role sdtls.Role) sdtls.PEM {
+	t.Helper()
+	text, err := authority.Sign(string(role), certificateLife)
+	expectNoError(t, err)
+	return text
+}
+
+// start starts a node with certificates of the authority, nil for none.
+func (b *secureBed) start(authority *sdstandauthority.Authority, edit func(*sdsettings.Settings)) *sdrig.Node {
+	b.t.Helper()
+	node, err := b.rig.StartNode(sdrig.NodeSpec{DataCentre: "dc-1", Region: "r-1", Edit: func(s *sdsettings.Settings) {
+		if authority != nil {
+			text := sign(b.t, authority, sdtls.RoleNode)
+			s.TLSCertificate, s.TLSKey, s.TLSAuthorities = text.Certificate, text.Key, text.Authorities
+		}
+		if edit != nil {
+			edit(s)
+		}
+	}})
+	expectNoError(b.t, err)
+	return node
+}
+
+// operator returns a client of the node with a certificate of the role.
+func (b *secureBed) operator(node *sdrig.Node, role sdtls.Role) *sdoperatorapi.Client {
+	b.t.Helper()
+	material, err := sdtls.Parse(time.Now(), sign(b.t, b.authority, role))
+	expectNoError(b.t, err)
+	transport := &http.Transport{TLSClientConfig: sdtls.NewKeeper(sdclock.System{}, material).ClientConfig()}
+	b.t.Cleanup(transport.CloseIdleConnections)
+	client, err := sdoperatorapi.NewClient("https://"+node.Settings.AdminAddress,
+		sdoperatorapi.WithClient(&http.Client{Transport: transport}))
+	expectNoError(b.t, err)
+	return client
+}
+
+func (b *secureBed) waitFor(what string, condition func() bool) {
+	b.t.Helper()
+	if err := sdrig.WaitUntil(b.ctx, condition); err != nil {
+		b.t.Fatalf("never: %s", what)
+	}
+}
+
+func (b *secureBed) put(client *sdoperatorapi.Client, service, changeID string) error {
+	_, err := client.PutPolicy(b.ctx, &sdoperatorapi.PolicyChange{ChangeID: changeID, Policy: sdoperatorapi.Policy{
+		Service: service, Operations: []sdoperatorapi.Operation{{
+			Name: "all", Methods: []string{http.MethodGet}, PathPrefix: "/", Class: "normal", Idempotent: true,
+		}},
+	}}, sdoperatorapi.PutPolicyParams{Service: service})
+	return err
+}
+
+func expectForbidden(t *testing.T, err error, needed sdtls.Role) {
+	t.Helper()
+	var problem *sdoperatorapi.ProblemStatusCode
+	if !errors.As(err, &problem) {
+		t.Fatalf("no problem: %v", err)
+	}
+	is := is.New(t)
+	is.Equal(problem.StatusCode, http.StatusForbidden)
+	is.Equal(problem.Response.Outcome.Or(""), "not_run")
+	is.True(strings.Contains(problem.Response.Detail.Or(""), string(needed)))
+}
+
+func TestSecuredNodesServeAndOthersStayOut(t *testing.T) {
+	is := is.New(t)
+	b := newSecureBed(t)
+	entry, serving := b.start(b.authority, nil), b.start(b.authority, nil)
+	writer := b.operator(entry, sdtls.RoleWrite)
+	b.waitFor("operators served", func() bool { _, err := writer.GetStatus(b.ctx); return err == nil })
+	is.NoErr(b.put(writer, front, "secure-front"))
+	target, err := b.rig.StartTarget(serving, sdstandtarget.Options{Service: front, Slots: 4, Connections: 16})
+	is.NoErr(err)
+	t.Cleanup(target.Stop)
+	caller := sdstandcaller.New(entry.Settings.CallerAddress, 1)
+	defer caller.Close()
+	b.waitFor("call over a secured link", func() bool {
+		return caller.Send(b.ctx, sdstandcaller.Request{Service: front, Method: http.MethodGet, Path: "/", Caller: "branch-7"}).Complete()
+	})
+
+	// A plain node and one of another authority never become members.
+	plain := b.start(nil, nil)
+	stranger := b.start(newTestAuthority(t), nil)
+	is.NoErr(plain.Ready(b.ctx))
+	time.Sleep(time.Second)
+	for _, node := range []*sdrig.Node{plain, stranger} {
+		for _, member := range entry.Inside.Members() {
+			is.True(string(member.Node) != node.Settings.PeerAddress)
+		}
+		is.Equal(len(node.Inside.Members()), 1)
+	}
+	// Plain text is refused on the operators' address.
+	_, err = entry.Operators.GetStatus(b.ctx)
+	is.True(err != nil)
+}
+
+func TestOperatorsRoles(t *testing.T) {
+	is := is.New(t)
+	b := newSecureBed(t)
+	node := b.start(b.authority, nil)
+	reader, writer := b.operator(node, sdtls.RoleRead), b.operator(node, sdtls.RoleWrite)
+	b.waitFor("operators served", func() bool { _, err := reader.GetStatus(b.ctx); return err == nil })
+	expectForbidden(t, b.put(reader, front, "roles-front"), sdtls.RoleWrite)
+	is.Equal(b.rig.Platform.Revision(), int64(0)) // the refusal is true
+	is.NoErr(b.put(writer, front, "roles-front"))
+	_, err := reader.ListPolicies(b.ctx)
+	is.NoErr(err)
+	_, err = b.operator(node, sdtls.RoleNode).GetStatus(b.ctx)
+	is.True(err != nil) // a node is no operator
+
+	open := b.start(nil, func(s *sdsettings.Settings) { s.OperatorRole = "read" })
+	is.NoErr(open.Ready(b.ctx))
+	expectForbidden(t, b.put(open.Operators, front, "roles-open"), sdtls.RoleWrite)
+}
+
+func TestCertificatesAreReplacedByRPC(t *testing.T) {
+	is := is.New(t)
+	b := newSecureBed(t)
+	node := b.start(b.authority, nil)
+	writer, reader := b.operator(node, sdtls.RoleWrite), b.operator(node, sdtls.RoleRead)
+	b.waitFor("operators served", func() bool { _, err := reader.GetStatus(b.ctx); return err == nil })
+	before, err := reader.GetSecurity(b.ctx)
+	is.NoErr(err)
+	is.True(before.Secured)
+	longer, err := b.authority.Sign(string(sdtls.RoleNode), 2*certificateLife)
+	is.NoErr(err)
+	change := &sdoperatorapi.SecurityChange{Certificate: longer.Certificate, Key: longer.Key, Authorities: longer.Authorities}
+	_, err = reader.ReplaceSecurity(b.ctx, change)
+	expectForbidden(t, err, sdtls.RoleWrite)
+	after, err := writer.ReplaceSecurity(b.ctx, change)
+	is.NoErr(err)
+	is.True(after.NotAfter.Value.After(before.NotAfter.Value))
+	wrong := *change
+	wrong.Key = sign(t, b.authority, sdtls.RoleNode).Key
+	_, err = writer.ReplaceSecurity(b.ctx, &wrong)
+	var problem *sdoperatorapi.ProblemStatusCode
+	is.True(errors.As(err, &problem))
+	is.Equal(problem.StatusCode, http.StatusUnprocessableEntity)
+	is.True(!strings.Contains(problem.Response.Detail.Or(""), "PRIVATE"))
+	now, err := reader.GetSecurity(b.ctx)
+	is.NoErr(err)
+	is.Equal(now.NotAfter.Value, after.NotAfter.Value)
+
+	plain := b.start(nil, nil)
+	is.NoErr(plain.Ready(b.ctx))
+	_, err = plain.Operators.ReplaceSecurity(b.ctx, change)
+	is.True(errors.As(err, &problem))
+	is.Equal(problem.StatusCode, http.StatusConflict) // a key over plain text would be lost to any listener
+}
--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -13,6 +13,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
 // Status is what a node says of itself.
@@ -48,6 +49,10 @@
 	// InForce asks which nodes run at least the version.
 	InForce(ctx context.Context, service string, version int64) InForce
 	Dump(ctx context.Context) []Section
+	// Security describes the certificates in force.
+	Security() Security
+	// ReplaceSecurity puts others in force.
+	ReplaceSecurity(text sdtls.PEM) error
 }
 
 // Server implements the operators' schema.
@@ -246,6 +251,7 @@
 	var notRun *NotRunError
 	var unknown *UnknownError
 	var invalid *sdpolicy.InvalidError
+	var certificate *sdtls.ParseError
 	problem := sdoperatorapi.Problem{Type: "about:blank", Detail: sdoperatorapi.NewOptString(err.Error())}
 	outcome := savorydeal.OutcomeNotRun
 	switch {
@@ -256,6 +262,12 @@
 		problem.Status = http.StatusUnprocessableEntity
 		problem.Field = sdoperatorapi.NewOptString(invalid.Fields[0].Field)
 		problem.Remedy = sdoperatorapi.NewOptString(invalid.Fields[0].Remedy)
+	case errors.As(err, &certificate):
+		problem.Status = http.StatusUnprocessableEntity
+		problem.Field = sdoperatorapi.NewOptString(certificate.Part)
+		problem.Remedy = sdoperatorapi.NewOptString(certificate.Remedy)
+	case errors.Is(err, ErrNotSecured):
+		problem.Status = http.StatusConflict
 	case errors.As(err, &notRun):
 		problem.Status = http.StatusServiceUnavailable
 	case errors.As(err, &unknown):
--- a/internal/sdoperatorapi/oas_client_gen.go
+++ b/internal/sdoperatorapi/oas_client_gen.go
@@ -40,6 +40,10 @@
 	//
 	// GET /v1/policies/{service}/history
 	GetPolicyHistory(ctx context.Context, params GetPolicyHistoryParams) (*PolicyHistory, error)
+	// GetSecurity invokes getSecurity operation.
+	//
+	// GET /v1/security
+	GetSecurity(ctx context.Context) (*Security, error)
 	// GetStatus invokes getStatus operation.
 	//
 	// GET /v1/status
@@ -56,6 +60,12 @@
 	//
 	// PUT /v1/policies/{service}
 	PutPolicy(ctx context.Context, request *PolicyChange, params PutPolicyParams) (*PolicyRecord, error)
+	// ReplaceSecurity invokes replaceSecurity operation.
+	//
+	// Puts other certificates in force at this node, for connections from now on.
+	//
+	// PUT /v1/security
+	ReplaceSecurity(ctx context.Context, request *SecurityChange) (*Security, error)
 	// WaitInForce invokes waitInForce operation.
 	//
 	// Waits until every node that can be reached runs at least this version, or the wait ends.
@@ -356,6 +366,47 @@
 	return result, nil
 }
 
+// GetSecurity invokes getSecurity operation.
+//
+// GET /v1/security
+func (c *Client) GetSecurity(ctx context.Context) (*Security, error) {
+	res, err := c.sendGetSecurity(ctx)
+	return res, err
+}
+
+func (c *Client) sendGetSecurity(ctx context.Context) (res *Security, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/security"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetSecurityResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetStatus invokes getStatus operation.
 //
 // GET /v1/status
@@ -550,6 +601,52 @@
 	return result, nil
 }
 
+// ReplaceSecurity invokes replaceSecurity operation.
+//
+// Puts other certificates in force at this node, for connections from now on.
+//
+// PUT /v1/security
+func (c *Client) ReplaceSecurity(ctx context.Context, request *SecurityChange) (*Security, error) {
+	res, err := c.sendReplaceSecurity(ctx, request)
+	return res, err
+}
+
+func (c *Client) sendReplaceSecurity(ctx context.Context, request *SecurityChange) (res *Security, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/security"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "PUT", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeReplaceSecurityRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeReplaceSecurityResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // WaitInForce invokes waitInForce operation.
 //
 // Waits until every node that can be reached runs at least this version, or the wait ends.
--- a/internal/sdoperatorapi/oas_handlers_gen.go
+++ b/internal/sdoperatorapi/oas_handlers_gen.go
@@ -392,6 +392,80 @@
 	}
 }
 
+// handleGetSecurityRequest handles getSecurity operation.
+//
+// GET /v1/security
+func (s *Server) handleGetSecurityRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response *Security
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetSecurityOperation,
+			OperationSummary: "",
+			OperationID:      "getSecurity",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = *Security
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetSecurity(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetSecurity(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetSecurityResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetStatusRequest handles getStatus operation.
 //
 // GET /v1/status
@@ -722,6 +796,101 @@
 	}
 }
 
+// handleReplaceSecurityRequest handles replaceSecurity operation.
+//
+// Puts other certificates in force at this node, for connections from now on.
+//
+// PUT /v1/security
+func (s *Server) handleReplaceSecurityRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: ReplaceSecurityOperation,
+			ID:   "replaceSecurity",
+		}
+	)
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeReplaceSecurityRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Security
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ReplaceSecurityOperation,
+			OperationSummary: "",
+			OperationID:      "replaceSecurity",
+			Body:             request,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = *SecurityChange
+			Params   = struct{}
+			Response = *Security
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ReplaceSecurity(ctx, request)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ReplaceSecurity(ctx, request)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeReplaceSecurityResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleWaitInForceRequest handles waitInForce operation.
 //
 // Waits until every node that can be reached runs at least this version, or the wait ends.
--- a/internal/sdoperatorapi/oas_json_gen.go
+++ b/internal/sdoperatorapi/oas_json_gen.go
@@ -5,6 +5,7 @@
 import (
 	"math/bits"
 	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
@@ -876,6 +877,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes time.Time as json.
+func (o OptDateTime) Encode(e *jx.Encoder, format func(*jx.Encoder, time.Time)) {
+	if !o.Set {
+		return
+	}
+	format(e, o.Value)
+}
+
+// Decode decodes time.Time from json.
+func (o *OptDateTime) Decode(d *jx.Decoder, format func(*jx.Decoder) (time.Time, error)) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptDateTime to nil")
+	}
+	o.Set = true
+	v, err := format(d)
+	if err != nil {
+		return err
+	}
+	o.Value = v
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptDateTime) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e, json.EncodeDateTime)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptDateTime) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d, json.DecodeDateTime)
+}
+
 // Encode encodes float64 as json.
 func (o OptFloat64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -1976,6 +2012,266 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *Security) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Security) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("secured")
+		e.Bool(s.Secured)
+	}
+	{
+		if s.Role.Set {
+			e.FieldStart("role")
+			s.Role.Encode(e)
+		}
+	}
+	{
+		if s.NotAfter.Set {
+			e.FieldStart("not_after")
+			s.NotAfter.Encode(e, json.EncodeDateTime)
+		}
+	}
+}
+
+var jsonFieldsNameOfSecurity = [3]string{
+	0: "secured",
+	1: "role",
+	2: "not_after",
+}
+
+// Decode decodes Security from json.
+func (s *Security) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Security to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "secured":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Bool()
+				s.Secured = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"secured\"")
+			}
+		case "role":
+			if err := func() error {
+				s.Role.Reset()
+				if err := s.Role.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"role\"")
+			}
+		case "not_after":
+			if err := func() error {
+				s.NotAfter.Reset()
+				if err := s.NotAfter.Decode(d, json.DecodeDateTime); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"not_after\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Security")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000001,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfSecurity) {
+					name = jsonFieldsNameOfSecurity[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Security) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Security) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *SecurityChange) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *SecurityChange) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("certificate")
+		e.Str(s.Certificate)
+	}
+	{
+		e.FieldStart("key")
+		e.Str(s.Key)
+	}
+	{
+		e.FieldStart("authorities")
+		e.Str(s.Authorities)
+	}
+}
+
+var jsonFieldsNameOfSecurityChange = [3]string{
+	0: "certificate",
+	1: "key",
+	2: "authorities",
+}
+
+// Decode decodes SecurityChange from json.
+func (s *SecurityChange) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode SecurityChange to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "certificate":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Certificate = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"certificate\"")
+			}
+		case "key":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Key = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key\"")
+			}
+		case "authorities":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Authorities = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"authorities\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode SecurityChange")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfSecurityChange) {
+					name = jsonFieldsNameOfSecurityChange[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *SecurityChange) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *SecurityChange) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Status) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/sdoperatorapi/oas_operations_gen.go
+++ b/internal/sdoperatorapi/oas_operations_gen.go
@@ -10,9 +10,11 @@
 	GetDumpOperation          OperationName = "GetDump"
 	GetPolicyOperation        OperationName = "GetPolicy"
 	GetPolicyHistoryOperation OperationName = "GetPolicyHistory"
+	GetSecurityOperation      OperationName = "GetSecurity"
 	GetStatusOperation        OperationName = "GetStatus"
 	ListNodesOperation        OperationName = "ListNodes"
 	ListPoliciesOperation     OperationName = "ListPolicies"
 	PutPolicyOperation        OperationName = "PutPolicy"
+	ReplaceSecurityOperation  OperationName = "ReplaceSecurity"
 	WaitInForceOperation      OperationName = "WaitInForce"
 )
--- a/internal/sdoperatorapi/oas_request_decoders_gen.go
+++ b/internal/sdoperatorapi/oas_request_decoders_gen.go
@@ -92,3 +92,74 @@
 		return req, rawBody, close, validate.InvalidContentType(ct)
 	}
 }
+
+func (s *Server) decodeReplaceSecurityRequest(r *http.Request) (
+	req *SecurityChange,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request SecurityChange
+		if err := func() error {
+			if err := request.Decode(d); err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		return &request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
--- a/internal/sdoperatorapi/oas_request_encoders_gen.go
+++ b/internal/sdoperatorapi/oas_request_encoders_gen.go
@@ -23,3 +23,17 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
+
+func encodeReplaceSecurityRequest(
+	req *SecurityChange,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		req.Encode(e)
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
--- a/internal/sdoperatorapi/oas_response_decoders_gen.go
+++ b/internal/sdoperatorapi/oas_response_decoders_gen.go
@@ -372,6 +372,89 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetSecurityResponse(resp *http.Response) (res *Security, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Security
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetStatusResponse(resp *http.Response) (res *Status, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -731,6 +814,89 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeReplaceSecurityResponse(resp *http.Response) (res *Security, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Security
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/problem+json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeWaitInForceResponse(resp *http.Response) (res *InForce, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/sdoperatorapi/oas_response_encoders_gen.go
+++ b/internal/sdoperatorapi/oas_response_encoders_gen.go
@@ -86,6 +86,19 @@
 	return nil
 }
 
+func encodeGetSecurityResponse(response *Security, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetStatusResponse(response *Status, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -162,6 +175,19 @@
 	return nil
 }
 
+func encodeReplaceSecurityResponse(response *Security, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeWaitInForceResponse(response *InForce, w http.ResponseWriter) error {
 	if err := func() error {
 		if err := response.Validate(); err != nil {
--- a/internal/sdoperatorapi/oas_router_gen.go
+++ b/internal/sdoperatorapi/oas_router_gen.go
@@ -14,6 +14,9 @@
 	rn2AllowedHeaders = map[string]string{
 		"PUT": "Content-Type",
 	}
+	rn6AllowedHeaders = map[string]string{
+		"PUT": "Content-Type",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -256,29 +259,70 @@
 
 				}
 
-			case 's': // Prefix: "status"
+			case 's': // Prefix: "s"
 
-				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
+				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch r.Method {
-					case "GET":
-						s.handleGetStatusRequest([0]string{}, elemIsEscaped, w, r)
-					default:
-						s.notAllowed(w, r, notAllowedParams{
-							allowedMethods: "GET",
-							allowedHeaders: nil,
-							acceptPost:     "",
-							acceptPatch:    "",
-						})
+					break
+				}
+				switch elem[0] {
+				case 'e': // Prefix: "ecurity"
+
+					if l := len("ecurity"); len(elem) >= l && elem[0:l] == "ecurity" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetSecurityRequest([0]string{}, elemIsEscaped, w, r)
+						case "PUT":
+							s.handleReplaceSecurityRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET,PUT",
+								allowedHeaders: rn6AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				case 't': // Prefix: "tatus"
+
+					if l := len("tatus"); len(elem) >= l && elem[0:l] == "tatus" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetStatusRequest([0]string{}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
 					}
 
-					return
 				}
 
 			}
@@ -574,29 +618,77 @@
 
 				}
 
-			case 's': // Prefix: "status"
+			case 's': // Prefix: "s"
 
-				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
+				if l := len("s"); len(elem) >= l && elem[0:l] == "s" {
 					elem = elem[l:]
 				} else {
 					break
 				}
 
 				if len(elem) == 0 {
-					// Leaf node.
-					switch method {
-					case "GET":
-						r.name = GetStatusOperation
-						r.summary = ""
-						r.operationID = "getStatus"
-						r.operationGroup = ""
-						r.pathPattern = "/v1/status"
-						r.args = args
-						r.count = 0
-						return r, true
-					default:
-						return
+					break
+				}
+				switch elem[0] {
+				case 'e': // Prefix: "ecurity"
+
+					if l := len("ecurity"); len(elem) >= l && elem[0:l] == "ecurity" {
+						elem = elem[l:]
+					} else {
+						break
 					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetSecurityOperation
+							r.summary = ""
+							r.operationID = "getSecurity"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/security"
+							r.args = args
+							r.count = 0
+							return r, true
+						case "PUT":
+							r.name = ReplaceSecurityOperation
+							r.summary = ""
+							r.operationID = "replaceSecurity"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/security"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
+				case 't': // Prefix: "tatus"
+
+					if l := len("tatus"); len(elem) >= l && elem[0:l] == "tatus" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetStatusOperation
+							r.summary = ""
+							r.operationID = "getStatus"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/status"
+							r.args = args
+							r.count = 0
+							return r, true
+						default:
+							return
+						}
+					}
+
 				}
 
 			}
--- a/internal/sdoperatorapi/oas_schemas_gen.go
+++ b/internal/sdoperatorapi/oas_schemas_gen.go
@@ -355,6 +355,52 @@
 	return d
 }
 
+// NewOptDateTime returns new OptDateTime with value set to v.
+func NewOptDateTime(v time.Time) OptDateTime {
+	return OptDateTime{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptDateTime is optional time.Time.
+type OptDateTime struct {
+	Value time.Time
+	Set   bool
+}
+
+// IsSet returns true if OptDateTime was set.
+func (o OptDateTime) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptDateTime) Reset() {
+	var v time.Time
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptDateTime) SetTo(v time.Time) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptDateTime) Get() (v time.Time, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptDateTime) Or(d time.Time) time.Time {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptFloat64 returns new OptFloat64 with value set to v.
 func NewOptFloat64(v float64) OptFloat64 {
 	return OptFloat64{
@@ -912,6 +958,84 @@
 	s.Response = val
 }
 
+// Ref: #/components/schemas/Security
+type Security struct {
+	// Whether links and the operators' address are secured.
+	Secured  bool        `json:"secured"`
+	Role     OptString   `json:"role"`
+	NotAfter OptDateTime `json:"not_after"`
+}
+
+// GetSecured returns the value of Secured.
+func (s *Security) GetSecured() bool {
+	return s.Secured
+}
+
+// GetRole returns the value of Role.
+func (s *Security) GetRole() OptString {
+	return s.Role
+}
+
+// GetNotAfter returns the value of NotAfter.
+func (s *Security) GetNotAfter() OptDateTime {
+	return s.NotAfter
+}
+
+// SetSecured sets the value of Secured.
+func (s *Security) SetSecured(val bool) {
+	s.Secured = val
+}
+
+// SetRole sets the value of Role.
+func (s *Security) SetRole(val OptString) {
+	s.Role = val
+}
+
+// SetNotAfter sets the value of NotAfter.
+func (s *Security) SetNotAfter(val OptDateTime) {
+	s.NotAfter = val
+}
+
+// Ref: #/components/schemas/SecurityChange
+type SecurityChange struct {
+	// PEM text of the node's certificate and those between it and the authority.
+	Certificate string `json:"certificate"`
+	// PEM text of its key.
+	Key string `json:"key"`
+	// PEM text of the trusted authorities.
+	Authorities string `json:"authorities"`
+}
+
+// GetCertificate returns the value of Certificate.
+func (s *SecurityChange) GetCertificate() string {
+	return s.Certificate
+}
+
+// GetKey returns the value of Key.
+func (s *SecurityChange) GetKey() string {
+	return s.Key
+}
+
+// GetAuthorities returns the value of Authorities.
+func (s *SecurityChange) GetAuthorities() string {
+	return s.Authorities
+}
+
+// SetCertificate sets the value of Certificate.
+func (s *SecurityChange) SetCertificate(val string) {
+	s.Certificate = val
+}
+
+// SetKey sets the value of Key.
+func (s *SecurityChange) SetKey(val string) {
+	s.Key = val
+}
+
+// SetAuthorities sets the value of Authorities.
+func (s *SecurityChange) SetAuthorities(val string) {
+	s.Authorities = val
+}
+
 // Ref: #/components/schemas/Status
 type Status struct {
 	Node              string    `json:"node"`
--- a/internal/sdoperatorapi/oas_server_gen.go
+++ b/internal/sdoperatorapi/oas_server_gen.go
@@ -27,6 +27,10 @@
 	//
 	// GET /v1/policies/{service}/history
 	GetPolicyHistory(ctx context.Context, params GetPolicyHistoryParams) (*PolicyHistory, error)
+	// GetSecurity implements getSecurity operation.
+	//
+	// GET /v1/security
+	GetSecurity(ctx context.Context) (*Security, error)
 	// GetStatus implements getStatus operation.
 	//
 	// GET /v1/status
@@ -43,6 +47,12 @@
 	//
 	// PUT /v1/policies/{service}
 	PutPolicy(ctx context.Context, req *PolicyChange, params PutPolicyParams) (*PolicyRecord, error)
+	// ReplaceSecurity implements replaceSecurity operation.
+	//
+	// Puts other certificates in force at this node, for connections from now on.
+	//
+	// PUT /v1/security
+	ReplaceSecurity(ctx context.Context, req *SecurityChange) (*Security, error)
 	// WaitInForce implements waitInForce operation.
 	//
 	// Waits until every node that can be reached runs at least this version, or the wait ends.
--- /dev/null
+++ b/internal/sdsettings/security_test.go
@@ -0,0 +1,74 @@
+package sdsettings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdstandauthority"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
+)
+
+// parse reads settings that are right but for what texts changes.
+func parse(texts map[string]string) (sdsettings.Settings, []sdsettings.Error) {
+	return sdsettings.Parse(func(setting sdsettings.Setting) string {
+		if text, ok := texts[setting.Flag]; ok {
+			return text
+		}
+		switch setting.Flag {
+		case "peer-address":
+			return "10.0.0.7:7000"
+		case "data-centre", "region":
+			return "one"
+		case "platform-url":
+			return "http://10.0.0.2:8000"
+		}
+		return setting.Default
+	})
+}
+
+func TestSecuritySettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	authority, err := sdstandauthority.New("test", time.Now())
+	is.NoErr(err)
+	node, err := authority.Sign(string(sdtls.RoleNode), time.Hour)
+	is.NoErr(err)
+	operator, err := authority.Sign(string(sdtls.RoleWrite), time.Hour)
+	is.NoErr(err)
+	expired, err := authority.Sign(string(sdtls.RoleNode), -time.Minute)
+	is.NoErr(err)
+	texts := func(text sdtls.PEM) map[string]string {
+		return map[string]string{"tls-certificate": text.Certificate, "tls-key": text.Key, "tls-authorities": text.Authorities}
+	}
+	for _, test := range []struct {
+		name  string
+		texts map[string]string
+		// says is in the one mistake; empty if there is none.
+		says string
+	}{
+		{"none", nil, ""},
+		{"node's certificate", texts(node), ""},
+		{"operator's certificate", texts(operator), "savorydeal-node"},
+		{"expired", texts(expired), "expired"},
+		{"no key", texts(sdtls.PEM{Certificate: node.Certificate, Authorities: node.Authorities}), "--tls-key (SAVORYDEAL_TLS_KEY)"},
+		{"unknown role", map[string]string{"operator-role": "admin"}, "--operator-role (SAVORYDEAL_OPERATOR_ROLE)"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			settings, mistakes := parse(test.texts)
+			if test.says == "" {
+				is.Equal(len(mistakes), 0)
+				is.Equal(settings.Role(), sdtls.RoleWrite)
+				return
+			}
+			is.Equal(len(mistakes), 1)
+			is.True(strings.Contains(mistakes[0].Error(), test.says))
+			is.True(!strings.Contains(mistakes[0].Error(), "PRIVATE KEY"))
+		})
+	}
+	settings, _ := parse(map[string]string{"operator-role": "read"})
+	is.Equal(settings.Role(), sdtls.RoleRead)
+}
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -35,6 +35,14 @@
 	// asked to close their connections.
 	StopGrace time.Duration
 	LogLevel  string
+
+	// TLSCertificate, TLSKey and TLSAuthorities are PEM texts; all are empty
+	// for plain links.
+	TLSCertificate string
+	TLSKey         string
+	TLSAuthorities string
+	// OperatorRole is what operators may do without certificates.
+	OperatorRole string
 }
 
 const (
@@ -89,6 +97,10 @@
 		{Flag: "platform-url", Help: "base URL of the platform's object API", read: platformURL},
 		{Flag: "stop-timeout", Default: "30s", Help: "longest graceful stop, such as 30s", read: stopTimeout},
 		{Flag: "stop-grace", Default: "3s", Help: "how long callers are served after the signal, at most half of --stop-timeout", read: stopGrace},
+		{Flag: "tls-certificate", Help: "PEM text of this node's certificate; with it links between nodes and the admin address are secured", read: text(func(s *Settings) *string { return &s.TLSCertificate })},
+		{Flag: "tls-key", Help: "PEM text of the certificate's key; better given as the variable", read: text(func(s *Settings) *string { return &s.TLSKey })},
+		{Flag: "tls-authorities", Help: "PEM text of the certificates of trusted authorities", read: text(func(s *Settings) *string { return &s.TLSAuthorities })},
+		{Flag: "operator-role", Default: "write", Help: "read or write: what operators may do at a node without certificates", read: operatorRole},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", read: logLevel},
 	}
 }
@@ -102,7 +114,8 @@
 			mistakes = append(mistakes, Error{Setting: setting, Problem: err})
 		}
 	}
-	return settings, append(mistakes, checkAddresses(settings)...)
+	mistakes = append(mistakes, checkAddresses(settings)...)
+	return settings, append(mistakes, checkSecurity(settings)...)
 }
 
 // checkAddresses refuses two settings with one address.
@@ -234,6 +247,16 @@
 		"--stop-grace", s.StopGrace.String(),
 		"--log-level", s.LogLevel,
 	}
+	for _, optional := range []struct{ flag, value string }{
+		{"--tls-certificate", s.TLSCertificate},
+		{"--tls-key", s.TLSKey},
+		{"--tls-authorities", s.TLSAuthorities},
+		{"--operator-role", s.OperatorRole},
+	} {
+		if optional.value != "" {
+			flags = append(flags, optional.flag, optional.value)
+		}
+	}
 	if len(s.MeetingPoints) > 0 {
 		flags = append(flags, "--meeting-points", strings.Join(s.MeetingPoints, ","))
 	}
