Words and unchecked closes that the linter found in link security

Cause: spelling that the linter takes as American, and closes in tests whose error was dropped. Ruled out: nothing. Conclusion: no change of behaviour.

--- a/internal/sdnode/security.go
+++ b/internal/sdnode/security.go
@@ -105,7 +105,7 @@
 		Title:   http.StatusText(http.StatusForbidden),
 		Status:  http.StatusForbidden,
 		Detail:  fmt.Sprintf("this needs role %s, and the operator has %q", needed, held),
-		Remedy:  "use a certificate whose organizational unit is " + string(needed),
+		Remedy:  "use a certificate whose organisational unit is " + string(needed),
 		Outcome: string(savorydeal.OutcomeNotRun),
 	})
 }
--- a/internal/sdnode/security_test.go
+++ b/internal/sdnode/security_test.go
@@ -90,12 +90,12 @@
 	}
 }
 
-func (b *secureBed) put(client *sdoperatorapi.Client, service, changeID string) error {
+func (b *secureBed) put(client *sdoperatorapi.Client, changeID string) error {
 	_, err := client.PutPolicy(b.ctx, &sdoperatorapi.PolicyChange{ChangeID: changeID, Policy: sdoperatorapi.Policy{
-		Service: service, Operations: []sdoperatorapi.Operation{{
+		Service: front, Operations: []sdoperatorapi.Operation{{
 			Name: "all", Methods: []string{http.MethodGet}, PathPrefix: "/", Class: "normal", Idempotent: true,
 		}},
-	}}, sdoperatorapi.PutPolicyParams{Service: service})
+	}}, sdoperatorapi.PutPolicyParams{Service: front})
 	return err
 }
 
@@ -117,7 +117,7 @@
 	entry, serving := b.start(b.authority, nil), b.start(b.authority, nil)
 	writer := b.operator(entry, sdtls.RoleWrite)
 	b.waitFor("operators served", func() bool { _, err := writer.GetStatus(b.ctx); return err == nil })
-	is.NoErr(b.put(writer, front, "secure-front"))
+	is.NoErr(b.put(writer, "secure-front"))
 	target, err := b.rig.StartTarget(serving, sdstandtarget.Options{Service: front, Slots: 4, Connections: 16})
 	is.NoErr(err)
 	t.Cleanup(target.Stop)
@@ -149,9 +149,9 @@
 	node := b.start(b.authority, nil)
 	reader, writer := b.operator(node, sdtls.RoleRead), b.operator(node, sdtls.RoleWrite)
 	b.waitFor("operators served", func() bool { _, err := reader.GetStatus(b.ctx); return err == nil })
-	expectForbidden(t, b.put(reader, front, "roles-front"), sdtls.RoleWrite)
+	expectForbidden(t, b.put(reader, "roles-front"), sdtls.RoleWrite)
 	is.Equal(b.rig.Platform.Revision(), int64(0)) // the refusal is true
-	is.NoErr(b.put(writer, front, "roles-front"))
+	is.NoErr(b.put(writer, "roles-front"))
 	_, err := reader.ListPolicies(b.ctx)
 	is.NoErr(err)
 	_, err = b.operator(node, sdtls.RoleNode).GetStatus(b.ctx)
@@ -159,7 +159,7 @@
 
 	open := b.start(nil, func(s *sdsettings.Settings) { s.OperatorRole = "read" })
 	is.NoErr(open.Ready(b.ctx))
-	expectForbidden(t, b.put(open.Operators, front, "roles-open"), sdtls.RoleWrite)
+	expectForbidden(t, b.put(open.Operators, "roles-open"), sdtls.RoleWrite)
 }
 
 func TestCertificatesAreReplacedByRPC(t *testing.T) {
--- a/internal/sdsettings/security.go
+++ b/internal/sdsettings/security.go
@@ -59,7 +59,7 @@
 	}
 	material, err := sdtls.Parse(time.Now(), settings.Security())
 	if err == nil && material.Role != sdtls.RoleNode {
-		err = fmt.Errorf("its role is %s; set its organizational unit to %s", material.Role, sdtls.RoleNode)
+		err = fmt.Errorf("its role is %s; set its organisational unit to %s", material.Role, sdtls.RoleNode)
 	}
 	if err == nil {
 		return nil
--- a/internal/sdstandauthority/authority.go
+++ b/internal/sdstandauthority/authority.go
@@ -60,7 +60,7 @@
 	return &Authority{PEM: encode("CERTIFICATE", der), certificate: certificate, key: key, now: now, serial: 1}, nil
 }
 
-// Sign returns a certificate of the organizational unit that ends after life,
+// Sign returns a certificate of the organisational unit that ends after life,
 // with its key and this authority.
 func (a *Authority) Sign(unit string, life time.Duration) (sdtls.PEM, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/internal/sdtls/listener.go
+++ b/internal/sdtls/listener.go
@@ -110,7 +110,7 @@
 	case errors.As(err, &plain):
 		return "the peer speaks plain text; give it certificates"
 	case errors.As(err, &peer):
-		return "the peer's certificate is not accepted; have it signed anew by a trusted authority, with the role in its organizational unit"
+		return "the peer's certificate is not accepted; have it signed anew by a trusted authority, with the role in its organisational unit"
 	case errors.Is(err, context.DeadlineExceeded):
 		return "the peer has not finished the handshake in time"
 	}
--- a/internal/sdtls/material.go
+++ b/internal/sdtls/material.go
@@ -73,7 +73,7 @@
 	if m.Role == "" {
 		return nil, &ParseError{
 			Part: "certificate", Cause: errors.New("names no role"),
-			Remedy: "set its organizational unit to " + string(RoleNode) + ", " + string(RoleWrite) + " or " + string(RoleRead),
+			Remedy: "set its organisational unit to " + string(RoleNode) + ", " + string(RoleWrite) + " or " + string(RoleRead),
 		}
 	}
 	return m, nil
--- a/internal/sdtls/role.go
+++ b/internal/sdtls/role.go
@@ -8,7 +8,7 @@
 	"slices"
 )
 
-// Role is what the holder of a certificate may do: an organizational unit of
+// Role is what the holder of a certificate may do: an organisational unit of
 // its subject.
 type Role string
 
--- a/internal/sdtls/tls_test.go
+++ b/internal/sdtls/tls_test.go
@@ -125,7 +125,7 @@
 				return
 			}
 			go func() {
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				_, _ = io.Copy(conn, conn)
 			}()
 		}
@@ -134,7 +134,7 @@
 }
 
 func exchange(conn net.Conn) error {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	if _, err := conn.Write([]byte("x")); err != nil {
 		return err
@@ -174,7 +174,7 @@
 			if err != nil {
 				return err
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			_ = conn.SetDeadline(time.Now().Add(testTimeout))
 			if _, err := io.WriteString(conn, "GET /v1/status HTTP/1.1\r\nHost: node\r\n\r\n"); err != nil {
 				return err
