A keyed call after the hand-over is not called not run

Cause: the guard of a stopping owner refused every keyed call as not_run. A repeat of a key that had run here before would have been told that it had not.

Ruled out: letting it through, which would run a new key at a node whose records have already been given away.

Change: the refusal says unknown, with the remedy to send the same key again.

Before: found by reading; the refusal said not_run.

--- a/internal/sdnode/stop.go
+++ b/internal/sdnode/stop.go
@@ -29,7 +29,7 @@
 	local   *sdkeepalive.Set
 	// peerCalls counts calls of other nodes whose answer is not written.
 	peerCalls atomic.Int64
-	// refuseKeyed is true once records are handed over: a keyed call that came
+	// refuseKeyed is true once records are handed over: a keyed call that ran
 	// later could run again at the next owner.
 	refuseKeyed atomic.Bool
 	phase       atomic.Pointer[sddrain.Phase]
@@ -58,6 +58,7 @@
 }
 
 // guardKeyed refuses keyed calls of other nodes once records are handed over.
+// The refusal does not say not run: the key may have run before.
 func (s *stopState) guardKeyed(next savorydeal.Carrier) savorydeal.Carrier {
 	return &keyedGuard{stop: s, next: next}
 }
@@ -72,9 +73,9 @@
 	if g.stop.refuseKeyed.Load() {
 		_ = body.Close()
 		return savorydeal.Answer{}, &savorydeal.Refusal{
-			Outcome: savorydeal.OutcomeNotRun,
+			Outcome: savorydeal.OutcomeUnknown,
 			Reason:  savorydeal.ReasonStopping,
-			Detail:  "the node that owns the key is stopping; repeat the request",
+			Detail:  "the node that owns the key is stopping; send the same key again",
 		}
 	}
 	return g.next.Carry(ctx, call, body)
