--- a/internal/sdcli/policy.go
+++ b/internal/sdcli/policy.go
@@ -122,21 +122,21 @@
 
 func (c *client) readPolicy() (sdoperatorapi.Policy, error) {
 	var policy sdoperatorapi.Policy
-	input := c.stdin
-	if c.options.file != "-" {
+	name, input := "standard input", c.stdin
+	if c.options.file != "" {
 		file, err := os.Open(c.options.file)
 		if err != nil {
 			return policy, &usageError{text: err.Error()}
 		}
 		defer file.Close()
-		input = file
+		name, input = c.options.file, file
 	}
 	text, err := io.ReadAll(io.LimitReader(input, maxPolicyBytes))
 	if err != nil {
 		return policy, &usageError{text: fmt.Sprintf("read the policy: %v", err)}
 	}
 	if err := policy.UnmarshalJSON(text); err != nil {
-		return policy, &usageError{text: fmt.Sprintf("%s is no policy: %v", c.options.file, err)}
+		return policy, &usageError{text: fmt.Sprintf("%s is no policy: %v", name, err)}
 	}
 	return policy, nil
 }
@@ -190,11 +190,11 @@
 		if err != nil {
 			return err
 		}
-		done := len(seen.Lagging) == 0
+		done := seen.LaggingCount == 0
 		if done || !time.Now().Before(end) {
 			return c.finishWait(seen)
 		}
-		_, _ = fmt.Fprintf(c.stderr, "in force at %d nodes, %d lagging, %d unreachable\n", seen.InForce, len(seen.Lagging), len(seen.Unreachable))
+		_, _ = fmt.Fprintf(c.stderr, "in force at %d nodes, %d lagging, %d unreachable\n", seen.InForce, seen.LaggingCount, seen.UnreachableCount)
 	}
 }
 
@@ -226,10 +226,10 @@
 		}
 	} else {
 		_, _ = fmt.Fprintf(c.stdout, "%s version %d: in force at %d nodes, %d lagging, %d unreachable\n",
-			seen.Service, seen.Version, seen.InForce, len(seen.Lagging), len(seen.Unreachable))
+			seen.Service, seen.Version, seen.InForce, seen.LaggingCount, seen.UnreachableCount)
 	}
-	if len(seen.Lagging) > 0 {
-		return &laggingError{lagging: len(seen.Lagging)}
+	if seen.LaggingCount > 0 {
+		return &laggingError{lagging: seen.LaggingCount}
 	}
 	return nil
 }
--- a/internal/sdcli/security.go
+++ b/internal/sdcli/security.go
@@ -22,11 +22,13 @@
 )
 
 func securityOf(environment func(string) (string, bool)) sdtls.PEM {
-	var text sdtls.PEM
-	text.Certificate, _ = environment(envCertificate)
-	text.Key, _ = environment(envKey)
-	text.Authorities, _ = environment(envAuthorities)
-	return text
+	read := func(name string) string {
+		if value, ok := environment(name); ok {
+			return value
+		}
+		return ""
+	}
+	return sdtls.PEM{Certificate: read(envCertificate), Key: read(envKey), Authorities: read(envAuthorities)}
 }
 
 // connect returns the client of the node, secured if the operator has
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -13,6 +13,7 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdkeepalive"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
@@ -84,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	n.setKeyPlatform(platform)
 	servers, err := n.newServers(l, platform)
 	if err != nil {
 		return err
@@ -92,12 +94,21 @@
 		n.log.Info("stopped before serving")
 		return nil
 	}
+	if n.fleet.socket, err = sdgossip.Listen(n.settings.PeerAddress, n.settings.TestLoss); err != nil {
+		return err
+	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 
 	var group run.Group
 	group.Add(func() error { return n.runControl(background) }, func(error) { cancel() })
 	group.Add(func() error { return n.runWatch(background, platform, sdrecord.KindPolicy) }, func(error) { cancel() })
+	group.Add(func() error { return n.runRenewals(background) }, func(error) { cancel() })
+	group.Add(func() error { return n.runPoisonExpiry(background) }, func(error) { cancel() })
+	group.Add(func() error { return n.runUnknown(background, platform) }, func(error) { cancel() })
+	group.Add(func() error { return n.runGossip(background) }, func(error) { cancel() })
+	group.Add(func() error { return n.runJoin(background, platform) }, func(error) { cancel() })
+	group.Add(func() error { return n.runMeetingPoints(background, platform) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
 	for _, server := range servers.local() {
 		group.Add(server.serve, func(error) { server.close() })
--- a/internal/sdnode/start.go
+++ b/internal/sdnode/start.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// joinTimeout is the longest that a node that starts keeps callers waiting
+	// serveTimeout is the longest that a node that starts keeps callers waiting
 	// for its first view of the others; a node that is cut off serves after it.
-	joinTimeout = 2 * time.Second
+	serveTimeout = 2 * time.Second
 	// policiesTimeout is the longest wait for policies once others are known:
 	// there may be none yet.
 	policiesTimeout = 300 * time.Millisecond
-	joinPoll        = 10 * time.Millisecond
+	servePoll       = 10 * time.Millisecond
 )
 
 // waitJoined waits until this node knows others and their policies, if it has
@@ -33,12 +33,12 @@
 		if known && (len(n.Policies().Records()) > 0 || now.Sub(joined) >= policiesTimeout) {
 			return
 		}
-		if now.Sub(started) >= joinTimeout {
-			n.log.Warn("serving callers without a view of other nodes; check --meeting-points", "waited", joinTimeout)
+		if now.Sub(started) >= serveTimeout {
+			n.log.Warn("serving callers without a view of other nodes; check --meeting-points", "waited", serveTimeout)
 			return
 		}
 		select {
-		case <-n.clock.After(joinPoll):
+		case <-n.clock.After(servePoll):
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sdnode/stop.go
+++ b/internal/sdnode/stop.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"sync/atomic"
 	"time"
 
-	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sddrain"
 	"github.com/savorydeal/savorydeal/internal/sdkeepalive"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
@@ -29,10 +27,7 @@
 	local   *sdkeepalive.Set
 	// peerCalls counts calls of other nodes whose answer is not written.
 	peerCalls atomic.Int64
-	// refuseKeyed is true once records are handed over: a keyed call that ran
-	// later could run again at the next owner.
-	refuseKeyed atomic.Bool
-	phase       atomic.Pointer[sddrain.Phase]
+	phase     atomic.Pointer[sddrain.Phase]
 	// handOvers give other nodes what they rely on. They are set before Run.
 	handOvers []func(ctx context.Context) error
 }
@@ -57,30 +52,6 @@
 	}
 }
 
-// guardKeyed refuses keyed calls of other nodes once records are handed over.
-// The refusal does not say not run: the key may have run before.
-func (s *stopState) guardKeyed(next savorydeal.Carrier) savorydeal.Carrier {
-	return &keyedGuard{stop: s, next: next}
-}
-
-type keyedGuard struct {
-	stop *stopState
-	next savorydeal.Carrier
-}
-
-// Carry refuses or passes on.
-func (g *keyedGuard) Carry(ctx context.Context, call savorydeal.Call, body io.ReadCloser) (savorydeal.Answer, error) {
-	if g.stop.refuseKeyed.Load() {
-		_ = body.Close()
-		return savorydeal.Answer{}, &savorydeal.Refusal{
-			Outcome: savorydeal.OutcomeUnknown,
-			Reason:  savorydeal.ReasonStopping,
-			Detail:  "the node that owns the key is stopping; send the same key again",
-		}
-	}
-	return g.next.Carry(ctx, call, body)
-}
-
 func (n *Node) inFlight() sddrain.InFlight {
 	callers, local := n.stop.callers.Counts(), n.stop.local.Counts()
 	return sddrain.InFlight{
@@ -152,7 +123,6 @@
 			s.servers.caller.listener.Drain()
 			s.node.stop.callers.Refuse()
 		case sddrain.ActionHandOver:
-			s.node.stop.refuseKeyed.Store(true)
 			go s.handOver(ctx)
 		case sddrain.ActionRefuseLocal:
 			for _, server := range s.servers.local() {
--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -11,9 +11,11 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdtls"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // Status is what a node says of itself.
@@ -28,7 +30,10 @@
 
 // InForce says which nodes run a version of a policy.
 type InForce struct {
-	InForce     int
+	InForce          int
+	LaggingCount     int
+	UnreachableCount int
+	// Lagging and Unreachable name the first of them.
 	Lagging     []savorydeal.NodeID
 	Unreachable []savorydeal.NodeID
 }
@@ -53,6 +58,13 @@
 	Security() Security
 	// ReplaceSecurity puts others in force.
 	ReplaceSecurity(text sdtls.PEM) error
+	// UnknownOutcomes lists the outcomes of a service; an error means that
+	// some may lack.
+	UnknownOutcomes(ctx context.Context, service, key string) ([]sdunknown.Outcome, error)
+	Poison() []sdpoison.Entry
+	// ReleasePoison lets a request run again and returns how many nodes have
+	// been told, and which could not be.
+	ReleasePoison(ctx context.Context, fingerprint sdpoison.Fingerprint) (int, []savorydeal.NodeID)
 }
 
 // Server implements the operators' schema.
@@ -164,14 +176,14 @@
 	return &record, nil
 }
 
-const inForcePoll = 100 * time.Millisecond
+const inForcePoll = 250 * time.Millisecond
 
 // WaitInForce waits until a version is in force.
 func (s *Server) WaitInForce(ctx context.Context, params sdoperatorapi.WaitInForceParams) (*sdoperatorapi.InForce, error) {
 	end := s.clock.Now().Add(time.Duration(params.WaitMs) * time.Millisecond)
 	for {
 		seen := s.node.InForce(ctx, params.Service, params.Version)
-		if len(seen.Lagging) == 0 || !s.clock.Now().Before(end) {
+		if seen.LaggingCount == 0 || !s.clock.Now().Before(end) {
 			return inForceToAPI(params, seen), nil
 		}
 		select {
@@ -184,11 +196,14 @@
 
 func inForceToAPI(params sdoperatorapi.WaitInForceParams, seen InForce) *sdoperatorapi.InForce {
 	return &sdoperatorapi.InForce{
-		Service:     params.Service,
-		Version:     params.Version,
-		InForce:     seen.InForce,
-		Lagging:     names(seen.Lagging),
-		Unreachable: names(seen.Unreachable),
+		Service: params.Service,
+		Version: params.Version,
+		InForce: seen.InForce,
+
+		LaggingCount:     seen.LaggingCount,
+		UnreachableCount: seen.UnreachableCount,
+		Lagging:          names(seen.Lagging),
+		Unreachable:      names(seen.Unreachable),
 	}
 }
 
--- a/internal/sdsettings/security_test.go
+++ b/internal/sdsettings/security_test.go
@@ -12,8 +12,8 @@
 	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
-// parse reads settings that are right but for what texts changes.
-func parse(texts map[string]string) (sdsettings.Settings, []sdsettings.Error) {
+// parseWith reads settings that are right but for what texts changes.
+func parseWith(texts map[string]string) (sdsettings.Settings, []sdsettings.Error) {
 	return sdsettings.Parse(func(setting sdsettings.Setting) string {
 		if text, ok := texts[setting.Flag]; ok {
 			return text
@@ -58,7 +58,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			settings, mistakes := parse(test.texts)
+			settings, mistakes := parseWith(test.texts)
 			if test.says == "" {
 				is.Equal(len(mistakes), 0)
 				is.Equal(settings.Role(), sdtls.RoleWrite)
@@ -69,6 +69,6 @@
 			is.True(!strings.Contains(mistakes[0].Error(), "PRIVATE KEY"))
 		})
 	}
-	settings, _ := parse(map[string]string{"operator-role": "read"})
+	settings, _ := parseWith(map[string]string{"operator-role": "read"})
 	is.Equal(settings.Role(), sdtls.RoleRead)
 }
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -43,6 +44,9 @@
 	TLSAuthorities string
 	// OperatorRole is what operators may do without certificates.
 	OperatorRole string
+	// TestLoss is the share of datagrams between nodes that are dropped on
+	// purpose, for tests of loss.
+	TestLoss float64
 }
 
 const (
@@ -51,6 +55,7 @@
 
 	minStopTimeout = time.Second
 	maxStopTimeout = time.Hour
+	maxTestLoss    = 0.9
 	maxStopGrace   = time.Minute
 )
 
@@ -101,6 +106,7 @@
 		{Flag: "tls-key", Help: "PEM text of the certificate's key; better given as the variable", read: text(func(s *Settings) *string { return &s.TLSKey })},
 		{Flag: "tls-authorities", Help: "PEM text of the certificates of trusted authorities", read: text(func(s *Settings) *string { return &s.TLSAuthorities })},
 		{Flag: "operator-role", Default: "write", Help: "read or write: what operators may do at a node without certificates", read: operatorRole},
+		{Flag: "test-loss", Default: "0", Help: "share of datagrams between nodes to drop, from 0 to 0.9, for tests only", read: testLoss},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", read: logLevel},
 	}
 }
@@ -214,6 +220,15 @@
 	return nil
 }
 
+func testLoss(settings *Settings, text string) error {
+	parsed, err := strconv.ParseFloat(text, 64)
+	if err != nil || parsed < 0 || parsed > maxTestLoss {
+		return fmt.Errorf("%q is no share from 0 to %v; write it like 0.02", text, maxTestLoss)
+	}
+	settings.TestLoss = parsed
+	return nil
+}
+
 func stopGrace(settings *Settings, text string) error {
 	parsed, err := time.ParseDuration(text)
 	if err != nil || parsed < 0 || parsed > maxStopGrace {
@@ -246,6 +261,7 @@
 		"--stop-timeout", s.StopTimeout.String(),
 		"--stop-grace", s.StopGrace.String(),
 		"--log-level", s.LogLevel,
+		"--test-loss", strconv.FormatFloat(s.TestLoss, 'f', -1, 64),
 	}
 	for _, optional := range []struct{ flag, value string }{
 		{"--tls-certificate", s.TLSCertificate},
