--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -16,6 +16,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdproblem"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
@@ -55,6 +56,10 @@
 	// InForce asks which nodes run at least the version.
 	InForce(ctx context.Context, service string, version int64) InForce
 	Dump(ctx context.Context) []Section
+	// Security describes the certificates in force.
+	Security() Security
+	// ReplaceSecurity puts others in force.
+	ReplaceSecurity(text sdtls.PEM) error
 	// UnknownOutcomes lists the outcomes of a service; an error means that
 	// some may lack.
 	UnknownOutcomes(ctx context.Context, service, key string) ([]sdunknown.Outcome, error)
@@ -270,6 +275,7 @@
 	var notRun *NotRunError
 	var unknown *UnknownError
 	var invalid *sdpolicy.InvalidError
+	var certificate *sdtls.ParseError
 	problem := sdoperatorapi.Problem{Type: "about:blank", Detail: sdoperatorapi.NewOptString(err.Error())}
 	outcome := savorydeal.OutcomeNotRun
 	switch {
@@ -280,6 +286,12 @@
 		problem.Status = http.StatusUnprocessableEntity
 		problem.Field = sdoperatorapi.NewOptString(invalid.Fields[0].Field)
 		problem.Remedy = sdoperatorapi.NewOptString(invalid.Fields[0].Remedy)
+	case errors.As(err, &certificate):
+		problem.Status = http.StatusUnprocessableEntity
+		problem.Field = sdoperatorapi.NewOptString(certificate.Part)
+		problem.Remedy = sdoperatorapi.NewOptString(certificate.Remedy)
+	case errors.Is(err, ErrNotSecured):
+		problem.Status = http.StatusConflict
 	case errors.As(err, &notRun):
 		problem.Status = http.StatusServiceUnavailable
 	case errors.As(err, &unknown):
