The soak's callers send keys that begin with a node's prefix

Ruled out as a fault: it is the stated price of plain keys, whose owner cannot be told from one that still decides; callers are advised to take a prefix, and the callers of the soak did not.

Callers now ask their node for a prefix and send plain keys only where none is offered. Onward calls of the front service are look-ups, since its stand-in sends plain keys. A run ends at the first phase without recovery.

--- a/internal/sdsoak/load.go
+++ b/internal/sdsoak/load.go
@@ -133,6 +133,7 @@
 // send sends a request and resends it, under the same key, until it has a
 // whole answer or the caller gives up.
 func (l *load) send(request sdstandcaller.Request, entries []*vm, waits []time.Duration) {
+	request.Key = entries[0].key(request.Key)
 	entered := Request{ID: request.LedgerID, Service: request.Service, Method: request.Method, Class: classOf(request)}
 	for n := range hardAttempts {
 		hard := l.hard.Load()
--- a/internal/sdsoak/run.go
+++ b/internal/sdsoak/run.go
@@ -58,6 +58,9 @@
 	mu       sync.Mutex
 	findings []Finding
 	probes   int
+	// lost is set when a phase was not followed by recovery: what comes after
+	// it would tell nothing.
+	lost bool
 }
 
 func (r *runner) find(kind FindingKind, detail string) {
@@ -102,6 +105,9 @@
 		}
 		result.Phases = append(result.Phases, seen)
 		progress(seen)
+		if r.lost {
+			break
+		}
 	}
 	result.InForce = r.operators.close(ctx)
 	cancel()
@@ -144,6 +150,7 @@
 	recovered, ok := r.recover(ctx)
 	seen.Recovered = recovered
 	if !ok {
+		r.lost = true
 		r.find(FindingRecovery, fmt.Sprintf("phase %d %v: not every node answers %v after its faults", number, phase.Kinds, recoveryBound))
 	}
 	for i, kind := range phase.Kinds {
@@ -214,6 +221,7 @@
 }
 
 func (r *runner) sendProbe(request sdstandcaller.Request, entry *vm) bool {
+	request.Key = entry.key(request.Key)
 	attempt := r.load.attempt(request, entry, false)
 	r.load.mu.Lock()
 	defer r.load.mu.Unlock()
