--- a/internal/sdkeyed/invariant_test.go
+++ b/internal/sdkeyed/invariant_test.go
@@ -21,10 +21,11 @@
 
 func TestRecordsThatLetEveryClaimRun(t *testing.T) {
 	is := is.New(t)
-	owner := NewOwner(sdclock.NewFake(time.Unix(0, 0)), forgetful{sdkeys.New()}, nil)
-	claim := savorydeal.KeyClaim{Service: "orders", Caller: "stall-9", Key: "k1"}
+	self := sdkeys.Incarnation{Node: "10.0.0.1:7000", Generation: 1}
+	owner := NewOwner(sdclock.NewFake(time.Unix(0, 0)), self, forgetful{sdkeys.New()}, nil)
+	call := savorydeal.Call{Service: "orders", Key: owner.Prefix() + "advance-9", Chain: savorydeal.Chain{Caller: "stall-9"}}
 	is.True(sdinvariant.AtMostOnce.Bites(func() {
-		owner.claim(claim)
-		owner.claim(claim)
+		owner.claim(call)
+		owner.claim(call)
 	}))
 }
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -24,11 +24,11 @@
 	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
-	"github.com/savorydeal/savorydeal/internal/sdkeys"
 	"github.com/savorydeal/savorydeal/internal/sdlimit"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
@@ -36,6 +36,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
 // firstSlots bounds the calls on a target until it has announced its slots; no
@@ -66,9 +67,14 @@
 	server    *sdserve.Server
 	chains    *sdchain.Table
 	owner     *sdkeyed.Owner
-	router    *sdkeyed.Router
-	metrics   *sdmetrics.Metrics
-	ids       *identifiers
+	parts     *sdkeyed.Parts
+	poison    *sdpoison.Table
+	unknown   *sdunknown.Queue
+	// unknownRandom spreads the writes of unknown outcomes.
+	unknownRandom *rand.Rand
+	router        *sdkeyed.Router
+	metrics       *sdmetrics.Metrics
+	ids           *identifiers
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -96,6 +102,9 @@
 		lease:  sdannounce.NewLease(),
 	}
 	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.poison = sdpoison.New()
+	n.unknown = &sdunknown.Queue{}
+	n.unknownRandom = n.newRandom()
 	n.wireTraffic()
 	n.registerGauges()
 	return n
@@ -133,20 +142,14 @@
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
-	}
-	n.owner = sdkeyed.NewOwner(n.clock, sdkeys.New(), relay)
-	n.router = &sdkeyed.Router{
-		Self:    n.self,
-		Members: n.Members,
-		Owner:   n.owner,
-		Unkeyed: relay,
-		OwnerAt: n.ownerAt,
+		Poison:     n.poison,
 	}
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
-	keyed := &sdcarrier.Server{Carrier: n.owner, Clock: n.clock, Tries: tries, Log: n.log.Named("keyed")}
+	n.wireKeyed(relay, tries)
+	n.wirePoison()
+	n.wireUnknown()
 	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindKeyed, keyed.Serve)
 	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
@@ -159,10 +162,6 @@
 	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindCall, NewTryID: n.ids.next}
 }
 
-func (n *Node) ownerAt(member savorydeal.Member) savorydeal.Carrier {
-	return &sdcarrier.Client{Links: n.links, Address: member.PeerAddress, Kind: sdlink.KindKeyed, NewTryID: n.ids.next}
-}
-
 func (n *Node) retryRatio(service string) float64 {
 	record, ok := n.Policies().Policy(service)
 	if !ok {
@@ -182,6 +181,7 @@
 		Next:         n.router,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
+		KeyPrefix:    n.owner.Prefix,
 	}
 }
 
