--- /dev/null
+++ b/internal/sdcapacity/bench_test.go
@@ -0,0 +1,242 @@
+package sdcapacity_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdadmission"
+	"github.com/savorydeal/savorydeal/internal/sdchain"
+	"github.com/savorydeal/savorydeal/internal/sdlimit"
+	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdpolicy"
+	"github.com/savorydeal/savorydeal/internal/sdretry"
+	"github.com/savorydeal/savorydeal/internal/sdwire"
+)
+
+// The sizes of the target that the benchmarks reproduce.
+const (
+	targetServices   = 2900
+	targetHotService = 1000
+)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func call() savorydeal.Call {
+	return savorydeal.Call{
+		TryID: "946d7aa7ba55212762a48969-3f", Service: "review-decision", Method: "POST", Path: "/reviews/41",
+		Operation: savorydeal.Operation{Name: "sign_off", Class: savorydeal.ClassCritical, MaxBodyBytes: 1 << 20},
+		Headers: []savorydeal.Header{
+			{Name: "Accept", Value: "application/json"},
+			{Name: "Content-Type", Value: "application/json"},
+			{Name: "User-Agent", Value: "branch-desk/4.1"},
+		},
+		Key: "sign-off-41-2026-12-04", ContentLength: 400, Timeout: 1500 * time.Millisecond, PolicyVersion: 81231,
+		Chain: savorydeal.Chain{RequestID: "946d7aa7ba55212762a48969-3e", Class: savorydeal.ClassCritical, Rank: 1 << 31, Depth: 3, RetriesGranted: 2, Caller: "branch-7"},
+	}
+}
+
+func answerEnd() savorydeal.AnswerEnd {
+	end := savorydeal.AnswerEnd{Signal: savorydeal.LoadSignal{Running: 120, Queued: 30, Limit: 140, Delay: 20 * time.Millisecond, DropLevel: 300}, BodyBytes: 2000}
+	for i := range 4 {
+		end.Pressure = append(end.Pressure, savorydeal.ServicePressure{Service: fmt.Sprintf("deeper-service-%d", i), DropLevel: 200})
+	}
+	return end
+}
+
+// BenchmarkCapacityCallCodec encodes and decodes what the protocol between
+// nodes adds to a call: its head and the end of its answer.
+func BenchmarkCapacityCallCodec(b *testing.B) {
+	sent := call()
+	end := answerEnd()
+	size := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		head := sdwire.EncodeCall(sent)
+		wire, err := proto.Marshal(head)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := proto.Unmarshal(wire, head); err != nil {
+			b.Fatal(err)
+		}
+		sdwire.DecodeCall(head)
+		tail := sdwire.EncodeAnswerEnd(end)
+		closing, err := proto.Marshal(tail)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if err := proto.Unmarshal(closing, tail); err != nil {
+			b.Fatal(err)
+		}
+		sdwire.DecodeAnswerEnd(tail)
+		size = len(wire) + len(closing)
+	}
+	b.ReportMetric(float64(size), "wire_bytes")
+}
+
+func member(i int) savorydeal.Member {
+	return savorydeal.Member{
+		Node: savorydeal.NodeID(fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255)), PeerAddress: fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
+		Generation: uint64(1_764_000_000_000_000_000 + i), Incarnation: uint64(i), State: savorydeal.MemberAlive,
+		DataCentre: fmt.Sprintf("region-%d-dc-%d", i%6, i%13), Region: fmt.Sprintf("region-%d", i%6),
+		Service: fmt.Sprintf("service-%d", i%targetServices), TargetState: savorydeal.TargetReady, Slots: 140,
+	}
+}
+
+// BenchmarkCapacityPlacement chooses among the 1,000 targets of one service
+// and takes the signal of the answer.
+func BenchmarkCapacityPlacement(b *testing.B) {
+	chooser := sdplacement.New("region-0-dc-0", newRandom())
+	members := make([]savorydeal.Member, 0, targetHotService)
+	for i := range targetHotService {
+		hot := member(i)
+		hot.Service = "hot"
+		members = append(members, hot)
+	}
+	now := time.Unix(0, 0)
+	chooser.Update(now, members)
+	b.ReportAllocs()
+	for b.Loop() {
+		chosen, ok := chooser.Choose(now, savorydeal.PlacementRequest{Service: "hot", Class: savorydeal.ClassNormal})
+		if !ok {
+			b.Fatal("no target")
+		}
+		chooser.Observe(now, savorydeal.PlacementObservation{Node: chosen.Node, Service: "hot", Outcome: savorydeal.OutcomeAnswered, HasSignal: true})
+	}
+}
+
+// BenchmarkCapacityPlacementUpdate takes a new view of 35,000 members.
+func BenchmarkCapacityPlacementUpdate(b *testing.B) {
+	members := make([]savorydeal.Member, 0, targetNodes)
+	for i := range targetNodes {
+		members = append(members, member(i))
+	}
+	chooser := sdplacement.New("region-0-dc-0", newRandom())
+	b.ReportAllocs()
+	for b.Loop() {
+		chooser.Update(time.Unix(0, 0), members)
+	}
+}
+
+const targetNodes = 35000
+
+// BenchmarkCapacityAdmission takes a call in and out of a queue that is full.
+func BenchmarkCapacityAdmission(b *testing.B) {
+	now := time.Unix(0, 0)
+	queue := sdadmission.New(sdlimit.NewFixed(140))
+	queue.Configure(now, 140, 900)
+	ticket := savorydeal.Ticket(0)
+	arrive := func() []savorydeal.AdmissionAction {
+		ticket++
+		return queue.Arrive(now, savorydeal.Arrival{
+			Ticket: ticket, Class: savorydeal.Classes()[ticket%savorydeal.ClassCount], Caller: "branch-7", Rank: uint32(ticket), Deadline: now.Add(time.Hour),
+		})
+	}
+	running := []savorydeal.Ticket{}
+	note := func(actions []savorydeal.AdmissionAction) {
+		for _, action := range actions {
+			if action.Verdict == savorydeal.VerdictRun {
+				running = append(running, action.Ticket)
+			}
+		}
+	}
+	for range 1000 {
+		note(arrive())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		note(arrive())
+		done := running[0]
+		running = running[1:]
+		note(queue.Finish(now, savorydeal.Completion{Ticket: done, Latency: time.Millisecond, Result: savorydeal.RunSucceeded}))
+	}
+}
+
+// BenchmarkCapacityRetries decides on one first try and one failure.
+func BenchmarkCapacityRetries(b *testing.B) {
+	decider := sdretry.New(newRandom())
+	now := time.Unix(0, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		decider.FirstTry(now, "orders", 0.1)
+		decider.Decide(now, savorydeal.RetryAsk{
+			Service: "orders", Class: savorydeal.ClassHigh, Idempotent: true, Outcome: savorydeal.OutcomeNotRun,
+			Reason: savorydeal.ReasonOverloaded, Try: 1, Deadline: now.Add(time.Second),
+		})
+	}
+}
+
+// BenchmarkCapacityChain begins a run, grants retries to an onward call, takes
+// them back and ends the run.
+func BenchmarkCapacityChain(b *testing.B) {
+	table := sdchain.NewTable(func(bits []byte) { clear(bits) })
+	chain := call().Chain
+	b.ReportAllocs()
+	for b.Loop() {
+		run := sdchain.NewRun(chain, time.Unix(1, 0))
+		handle := table.Begin(run)
+		found, _ := table.Find(handle)
+		granted := found.Budget.Grant()
+		found.Budget.Return(granted, 0)
+		table.End(handle)
+	}
+}
+
+func policyRecord(i int) savorydeal.PolicyRecord {
+	record := savorydeal.PolicyRecord{Service: fmt.Sprintf("service-%d", i), Version: int64(i + 1)}
+	record.Policy.Service = record.Service
+	for j := range 4 {
+		record.Policy.Operations = append(record.Policy.Operations, savorydeal.Operation{
+			Name: fmt.Sprintf("operation-%d", j), Methods: []string{"GET"}, PathPrefix: fmt.Sprintf("/part-%d", j), Class: savorydeal.ClassNormal,
+		})
+	}
+	return record
+}
+
+// BenchmarkCapacityPolicyChange builds the table of 2,900 policies, as each
+// change does.
+func BenchmarkCapacityPolicyChange(b *testing.B) {
+	var records []savorydeal.PolicyRecord
+	for i := range targetServices {
+		records = append(records, policyRecord(i))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		sdpolicy.NewTable(records)
+	}
+}
+
+// BenchmarkCapacityPolicyMatch finds the operation of a call.
+func BenchmarkCapacityPolicyMatch(b *testing.B) {
+	var records []savorydeal.PolicyRecord
+	for i := range targetServices {
+		records = append(records, policyRecord(i))
+	}
+	table := sdpolicy.NewTable(records)
+	for b.Loop() {
+		record, _ := table.Policy("service-1777")
+		if _, ok := sdpolicy.Match(record.Policy, "GET", "/part-3/7"); !ok {
+			b.Fatal("no operation")
+		}
+	}
+}
+
+// heapPer returns the bytes of heap that build keeps for each of n items.
+func heapPer(n int, build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	per := (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / float64(n)
+	runtime.KeepAlive(kept)
+	return per
+}
