--- a/internal/sdnode/keyed.go
+++ b/internal/sdnode/keyed.go
@@ -36,8 +36,8 @@
 	}
 	parts := &sdcarrier.Server{Carrier: n.parts, Clock: n.clock, Tries: tries, Log: n.log.Named("keyed")}
 	held := &sdcarrier.Server{Carrier: n.owner, Clock: n.clock, Tries: tries, Log: n.log.Named("held")}
-	n.links.Handle(sdlink.KindKeyed, parts.Serve)
-	n.links.Handle(sdkeyed.KindHeld, held.Serve)
+	n.links.Handle(sdlink.KindKeyed, n.stop.count(parts.Serve))
+	n.links.Handle(sdkeyed.KindHeld, n.stop.count(held.Serve))
 	n.links.Handle(kindHandover, n.serveHandover)
 }
 
