--- a/internal/sdnode/fleet.go
+++ b/internal/sdnode/fleet.go
@@ -22,6 +22,8 @@
 // fleet is what membership and configuration share with traffic and metrics.
 type fleet struct {
 	socket *sdgossip.Socket
+	// lost is set by tests alone.
+	lost   atomic.Pointer[func(to string) bool]
 	leases atomic.Pointer[sdroster.Leases]
 	use    use
 	stats  atomic.Pointer[sdroster.Stats]
@@ -122,7 +124,7 @@
 
 // send sends a datagram; a socket that is not open yet loses it.
 func (n *Node) send(c *control, to string, datagram sdgossip.Datagram) {
-	if n.fleet.socket == nil {
+	if n.fleet.socket == nil || n.fleet.loses(to) {
 		return
 	}
 	datagram.ConfigDigest = c.store.Digest()
--- a/internal/sdnode/network.go
+++ b/internal/sdnode/network.go
@@ -2,8 +2,14 @@
 
 import "github.com/savorydeal/savorydeal/internal/sdlink"
 
-// SetDialer replaces how links to other nodes are opened. Tests put a faulty
-// network between nodes with it.
-func (n *Node) SetDialer(dialer sdlink.Dialer) {
+// SetNetwork puts a faulty network between nodes, for tests: dialer opens
+// links, and datagrams to an address for which lost is true are dropped.
+func (n *Node) SetNetwork(dialer sdlink.Dialer, lost func(to string) bool) {
 	n.links.SetDialer(dialer)
+	n.fleet.lost.Store(&lost)
+}
+
+func (f *fleet) loses(to string) bool {
+	lost := f.lost.Load()
+	return lost != nil && (*lost)(to)
 }
--- a/internal/sdsoak/faults.go
+++ b/internal/sdsoak/faults.go
@@ -175,7 +175,7 @@
 	return fault{
 		start: func(context.Context) error { network.setCut(rule); return nil },
 		stop:  func(context.Context) error { network.setCut(nil); return nil },
-		fired: since(func() int64 { return network.stalled.Load() + network.refused.Load() }),
+		fired: since(func() int64 { return network.stalled.Load() + network.refused.Load() + network.dropped.Load() }),
 	}
 }
 
--- a/internal/sdsoak/network.go
+++ b/internal/sdsoak/network.go
@@ -25,6 +25,7 @@
 	swallowed atomic.Int64
 	stalled   atomic.Int64
 	refused   atomic.Int64
+	dropped   atomic.Int64
 }
 
 func newNetwork() *network {
@@ -80,6 +81,17 @@
 	}
 }
 
+// datagrams tells the node at a peer address which of its datagrams are lost.
+func (n *network) datagrams(from string) func(string) bool {
+	return func(to string) bool {
+		cut, _ := n.isCut(from, to)
+		if cut {
+			n.dropped.Add(1)
+		}
+		return cut
+	}
+}
+
 // networkConn is one link's connection, wrapped on the side that dialled.
 type networkConn struct {
 	net.Conn
--- a/internal/sdsoak/world.go
+++ b/internal/sdsoak/world.go
@@ -135,7 +135,8 @@
 	if err != nil {
 		return err
 	}
-	node.Inside.SetDialer(w.network.dialer(node.Settings.PeerAddress))
+	peer := node.Settings.PeerAddress
+	node.Inside.SetNetwork(w.network.dialer(peer), w.network.datagrams(peer))
 	if err := node.Ready(ctx); err != nil {
 		return err
 	}
