Entry: a keyed call refused before its owner is unknown, not not_run

Cause: a node reborn while the platform was down held no policy yet and refused the resend of a key that had run as not_run, unknown_service. Before: not_run. After: unknown with a key, not_run without one; the test starts a node that has no policy.

--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -121,12 +121,12 @@
 	}
 	record, ok := e.Policies().Policy(request.service)
 	if !ok {
-		return call, nil, notRun(savorydeal.ReasonUnknownService,
+		return call, nil, beforeOwner(request.key, savorydeal.ReasonUnknownService,
 			"no policy names service "+request.service+"; put one, or correct the Host or "+sdheader.Service+" header")
 	}
 	operation, ok := sdpolicy.Match(record.Policy, r.Method, r.URL.Path)
 	if !ok {
-		return call, nil, notRun(savorydeal.ReasonNoOperation,
+		return call, nil, beforeOwner(request.key, savorydeal.ReasonNoOperation,
 			"no operation of service "+request.service+" matches "+r.Method+" "+r.URL.Path)
 	}
 	parent := e.parentOf(request)
@@ -178,7 +178,7 @@
 
 func checkCall(call savorydeal.Call) *savorydeal.Refusal {
 	if call.ContentLength > call.Operation.MaxBodyBytes {
-		return notRun(savorydeal.ReasonBodyTooLarge, "the body is larger than max_body_bytes of the operation")
+		return beforeOwner(call.Key, savorydeal.ReasonBodyTooLarge, "the body is larger than max_body_bytes of the operation")
 	}
 	keyNeeded := !call.Operation.Idempotent && call.Operation.Keyless == savorydeal.KeylessRefuse
 	if keyNeeded && call.Key == "" {
@@ -246,6 +246,18 @@
 	return &savorydeal.Refusal{Outcome: savorydeal.OutcomeNotRun, Reason: reason, Detail: detail}
 }
 
+// beforeOwner refuses a call that has not reached the owner of its key. This
+// try has not run, but an earlier one of the same key may have, under a policy
+// that this node does not hold.
+func beforeOwner(key string, reason savorydeal.Reason, detail string) *savorydeal.Refusal {
+	refusal := notRun(reason, detail)
+	if key != "" {
+		refusal.Outcome = savorydeal.OutcomeUnknown
+		refusal.Detail += "; an earlier try of this key may have run"
+	}
+	return refusal
+}
+
 // writeAnswer reports whether the caller was sent the whole answer.
 func writeAnswer(w http.ResponseWriter, call savorydeal.Call, answer savorydeal.Answer) bool {
 	header := w.Header()
--- a/internal/sdentry/request.go
+++ b/internal/sdentry/request.go
@@ -127,10 +127,10 @@
 	whole, err := sdbody.ReadWhole(limited, call.Operation.MaxBodyBytes)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, notRun(savorydeal.ReasonBodyTooLarge, "the body is larger than max_body_bytes of the operation")
+		return nil, beforeOwner(call.Key, savorydeal.ReasonBodyTooLarge, "the body is larger than max_body_bytes of the operation")
 	}
 	if err != nil {
-		return nil, notRun(savorydeal.ReasonCanceled, "the body was not received: "+err.Error())
+		return nil, beforeOwner(call.Key, savorydeal.ReasonCanceled, "the body was not received: "+err.Error())
 	}
 	call.ContentLength = int64(len(whole))
 	call.BodyDigest = sha256.Sum256(whole)
--- a/internal/sdrig/keyed_test.go
+++ b/internal/sdrig/keyed_test.go
@@ -14,6 +14,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdheader"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdrig"
+	"github.com/savorydeal/savorydeal/internal/sdsettings"
 	"github.com/savorydeal/savorydeal/internal/sdstandcaller"
 	"github.com/savorydeal/savorydeal/internal/sdstandplatform"
 	"github.com/savorydeal/savorydeal/internal/sdstandtarget"
@@ -208,3 +209,23 @@
 		t.Errorf("ran %d times", runs)
 	}
 }
+
+// A node that holds no policy for the service, as one reborn while the platform
+// is down, cannot know whether an earlier try of a key has run.
+func TestKeyAtANodeWithoutThePolicy(t *testing.T) {
+	b := newBed(t, 2)
+	key := b.prefix(0) + "41"
+	expectAnswered(t, b.send(0, key))
+	lone, err := b.rig.StartNode(sdrig.NodeSpec{DataCentre: "ub-1", Region: "ub", Edit: func(s *sdsettings.Settings) {
+		s.MeetingPoints = nil
+		s.PlatformURL = "http://127.0.0.1:1"
+	}})
+	is.New(t).NoErr(err)
+	is.New(t).NoErr(lone.Ready(b.ctx))
+	b.nodes = append(b.nodes, lone)
+	expectOutcome(t, b.send(2, key), savorydeal.OutcomeUnknown, savorydeal.ReasonUnknownService)
+	expectOutcome(t, b.send(2, ""), savorydeal.OutcomeNotRun, savorydeal.ReasonUnknownService)
+	if runs := b.runs(key); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
