A frozen owner leaves expired keys unknown

Cause: the refusal of a frozen owner replaced the refusal of a key whose record may have been dropped, and said not_run of a key that had run. Before: the test gets not_run stopping. After: unknown key_expired.

--- a/internal/sdkeyed/once_test.go
+++ b/internal/sdkeyed/once_test.go
@@ -410,3 +410,17 @@
 		})
 	}
 }
+
+// A frozen owner says not_run only of keys that cannot have run before: one
+// whose record may have been dropped stays unknown.
+func TestFrozenOwnerOfAnExpiredKey(t *testing.T) {
+	f := newFleet(t, "a", "b")
+	key := f.nodes["a"].owner.Prefix() + "41"
+	f.expectSend("a", key, answered)
+	f.clock.Advance(retention + sdkeys.KeySkew + time.Minute)
+	f.nodes["a"].owner.Freeze()
+	f.expectSend("b", key, "unknown key_expired")
+	if f.nodes["a"].owner.Held() != 0 {
+		t.Fatal("the record was not dropped")
+	}
+}
--- a/internal/sdkeyed/right.go
+++ b/internal/sdkeyed/right.go
@@ -30,7 +30,7 @@
 	} else {
 		found, refusal = o.rightToPart(now, key, call)
 	}
-	if refusal == nil && o.frozen {
+	if refusal == nil && o.frozen && found.refuseUnseen == nil {
 		// The records are complete and this process will never run the key.
 		found.refuseUnseen = &savorydeal.Refusal{
 			Outcome:    savorydeal.OutcomeNotRun,
