Measure truth: what callers are told against what targets did

Cause: no run compared the ledgers of callers and targets while targets, nodes, links and the platform failed. Ruled out: crashes as the failures of the tries table, since poison ends those at two; a silence while nothing is sent, which swallows nothing and once let the measure end with 'a link did not fall silent'. Conclusion: the measure exits 1 when a fault did not fire or a promise broke, and names reason and kind of key of each false refusal.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,7 @@
 measure:
 	@mkdir -p docs/measurements
 	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
+	go run ./cmd/savorydeal-bench truth > docs/measurements/truth.md
 
 fuzz:
 	go test ./internal/sdwire -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZ_TIME)
--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/savorydeal/savorydeal/internal/sdbenchpath"
+	"github.com/savorydeal/savorydeal/internal/sdbenchtruth"
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sddemo"
 )
@@ -14,5 +15,6 @@
 	os.Exit(sdcommand.RunBench(os.Args[1:], []sdcommand.Measure{
 		{Name: "demo", Help: "the whole path once, with its answers shown", Run: sddemo.Run},
 		{Name: "path", Help: "time that the path of nodes adds to a call", Run: sdbenchpath.Run},
+		{Name: "truth", Help: "what callers are told against what targets did, under faults", Run: sdbenchtruth.Run},
 	}, os.Stdout, os.Stderr))
 }
--- a/internal/sdkeys/records.go
+++ b/internal/sdkeys/records.go
@@ -24,7 +24,7 @@
 
 type recordID [16]byte
 
-// record is the memory of one key: about 100 bytes without its answer.
+// record is the memory of one key.
 type record struct {
 	digest [16]byte
 	caller uint64
