--- a/internal/sdlink/link.go
+++ b/internal/sdlink/link.go
@@ -6,8 +6,8 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -96,6 +96,8 @@
 	accepted map[*yamux.Session]struct{}
 	closed   bool
 	silent   int
+	dialer   atomic.Pointer[Dialer]
+	cut      func(address string) bool
 }
 
 type dial struct {
@@ -185,6 +187,10 @@
 		l.mu.Unlock()
 		return nil, fmt.Errorf("open link to %s: links are closed", address)
 	}
+	if l.cut != nil && l.cut(address) {
+		l.mu.Unlock()
+		return nil, fmt.Errorf("open link to %s: the network is cut", address)
+	}
 	if known := l.links[address]; known != nil && !known.session.IsClosed() {
 		l.mu.Unlock()
 		return known, nil
@@ -221,7 +227,7 @@
 }
 
 func (l *Links) connect(address string) (*link, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := l.dialPeer(address)
 	if err != nil {
 		return nil, fmt.Errorf("open link to %s: %w", address, err)
 	}
--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 )
 
@@ -55,7 +57,7 @@
 		NodesAlive:        n.alive(),
 		Policies:          len(n.Policies().Records()),
 		PoliciesRejected:  int(n.rejected.Load()),
-		PlatformReachable: n.reachable.Load(),
+		PlatformReachable: n.platformReachable(),
 	}
 }
 
@@ -72,10 +74,13 @@
 
 // policyDump is the dump of one policy.
 type policyDump struct {
+	Kind           string `json:"kind"`
 	Service        string `json:"service"`
 	NewestVersion  int64  `json:"newest_version"`
 	InForceVersion int64  `json:"in_force_version"`
 	Rejected       string `json:"rejected,omitempty"`
+	// TakenAt is when this node took the newest version.
+	TakenAt time.Time `json:"taken_at"`
 }
 
 // targetDump is the dump of this VM's target.
@@ -105,12 +110,14 @@
 			members = append(members, dumpMember(member))
 		}
 		for _, object := range c.store.Objects() {
-			entry, _ := c.store.Entry(object.Name)
+			entry, _ := c.store.Entry(sdconfig.KeyOf(object))
 			policies = append(policies, policyDump{
+				Kind:           object.Kind,
 				Service:        object.Name,
 				NewestVersion:  entry.Newest.Version,
-				InForceVersion: entry.InForce.Version,
+				InForceVersion: entry.Readable.Version,
 				Rejected:       entry.Rejected,
+				TakenAt:        c.takenAt[sdconfig.KeyOf(object)],
 			})
 		}
 		announcement := c.lease.Announcement()
@@ -130,7 +137,10 @@
 		section("runs", runsDump{Wasted: n.server.Wasted()}),
 		section("poison", dumpPoison(n.Poison())),
 		section("unknown_outcomes", n.dumpUnknown()),
+		section("leases", describeLeases(n.clock.Now(), n.fleet.leases.Load())),
 		section("traffic", trafficDump{ChainsRunning: n.chains.Len(), KeysHeld: n.owner.Held(), LinksOpen: n.links.Count()}),
+		section("stop", n.dumpStop()),
+		section("platform", n.dumpPlatform()),
 	}
 }
 
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -17,23 +17,18 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal"
-	"github.com/savorydeal/savorydeal/internal/sdadmission"
-	"github.com/savorydeal/savorydeal/internal/sdannounce"
 	"github.com/savorydeal/savorydeal/internal/sdcarrier"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
-	"github.com/savorydeal/savorydeal/internal/sdconfig"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
-	"github.com/savorydeal/savorydeal/internal/sdlimit"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
 	"github.com/savorydeal/savorydeal/internal/sdplacement"
+	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
-	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdpressure"
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
-	"github.com/savorydeal/savorydeal/internal/sdretry"
-	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
 	"github.com/savorydeal/savorydeal/internal/sdunknown"
@@ -51,6 +46,7 @@
 	log        hclog.Logger
 	self       savorydeal.NodeID
 	generation uint64
+	randomMu   sync.Mutex
 	random     *rand.Rand
 
 	events    chan controlEvent
@@ -59,6 +55,7 @@
 	members   atomic.Pointer[[]savorydeal.Member]
 	rejected  atomic.Int64
 	reachable atomic.Bool
+	fleet     fleet
 
 	links     *sdlink.Links
 	placement *sdplacement.Chooser
@@ -73,8 +70,11 @@
 	// unknownRandom spreads the writes of unknown outcomes.
 	unknownRandom *rand.Rand
 	router        *sdkeyed.Router
+	door          *sdpressure.Carrier
 	metrics       *sdmetrics.Metrics
 	ids           *identifiers
+	stop          stopState
+	platform      atomic.Pointer[sdplatform.Guard]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
@@ -96,23 +96,24 @@
 		metrics:    sdmetrics.New(),
 		ids:        newIdentifiers(),
 	}
-	n.control = control{
-		roster: sdroster.New(n.member(), settings.MeetingPoints, n.newRandom()),
-		store:  sdconfig.NewStore(sdrecord.DecodeValue),
-		lease:  sdannounce.NewLease(),
-	}
-	n.placement = sdplacement.New(settings.DataCentre, n.newRandom())
+	n.control = n.newControl()
+	n.stop.init()
+	n.stop.handOvers = []func(context.Context) error{n.HandKeysOver}
+	n.placement = n.newPlacement()
 	n.poison = sdpoison.New()
 	n.unknown = &sdunknown.Queue{}
 	n.unknownRandom = n.newRandom()
 	n.wireTraffic()
 	n.registerGauges()
+	n.registerFleetGauges()
 	return n
 }
 
 // newRandom returns a source of its own for one decision, since sources are
 // not safe for concurrent use.
 func (n *Node) newRandom() *rand.Rand {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
 	return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
 }
 
@@ -133,12 +134,12 @@
 	n.policies.Store(sdpolicy.NewTable(nil))
 	n.members.Store(&[]savorydeal.Member{n.member()})
 	n.chains = sdchain.NewTable(func(bits []byte) { _, _ = cryptorand.Read(bits) })
-	n.admitter = sdserve.NewAdmitter(n.clock, sdadmission.New(sdlimit.NewFixed(firstSlots)))
+	n.admitter = sdserve.NewAdmitter(n.clock, newAdmission(n.settings.Overload))
 	n.server = sdserve.NewServer(n.clock, n.gate, n.admitter, n.chains)
 	relay := &sdrelay.Relay{
 		Clock:      n.clock,
-		Placement:  n.placement,
-		Retries:    sdretry.New(n.newRandom()),
+		Placement:  n.leasedPlacement(),
+		Retries:    n.newRetries(),
 		CarrierTo:  n.carrierTo,
 		RetryRatio: n.retryRatio,
 		NewTryID:   n.ids.next,
@@ -147,10 +148,11 @@
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
 	n.wireKeyed(relay, tries)
+	n.door = n.newDoor(n.router)
 	n.wirePoison()
 	n.wireUnknown()
-	n.links.Handle(sdlink.KindCall, calls.Serve)
-	n.links.Handle(sdlink.KindFetch, calls.ServeFetch)
+	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
+	n.links.Handle(sdlink.KindFetch, n.stop.count(calls.ServeFetch))
 	n.links.Handle(sdlink.KindControl, n.serveControl)
 }
 
@@ -178,7 +180,7 @@
 		Log:          n.log.Named("entry"),
 		Policies:     n.Policies,
 		Chains:       n.chains,
-		Next:         n.router,
+		Next:         n.door,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
 		KeyPrefix:    n.owner.Prefix,
