--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,7 @@
 measure:
 	@mkdir -p docs/measurements
 	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
+	go run ./cmd/savorydeal-bench truth > docs/measurements/truth.md
 	go run ./cmd/savorydeal-bench stop > docs/measurements/stop.md
 
 # One randomised run over everything, with its schedule of faults by SEED.
--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -13,6 +13,7 @@
 
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
 const (
@@ -38,6 +39,10 @@
 	changeID string
 	wait     time.Duration
 	version  int64
+
+	certificateFile string
+	keyFile         string
+	authoritiesFile string
 	// key limits a list to one key.
 	key         string
 	fingerprint string
@@ -51,11 +56,12 @@
 
 // client runs one command against one node.
 type client struct {
-	options options
-	api     *sdoperatorapi.Client
-	stdin   io.Reader
-	stdout  io.Writer
-	stderr  io.Writer
+	options  options
+	security sdtls.PEM
+	api      *sdoperatorapi.Client
+	stdin    io.Reader
+	stdout   io.Writer
+	stderr   io.Writer
 }
 
 // usageError is a mistake on the command line.
@@ -74,6 +80,7 @@
 func Run(arguments []string, environment func(string) (string, bool), stdin io.Reader, stdout, stderr io.Writer) int {
 	c := &client{stdin: stdin, stdout: stdout, stderr: stderr}
 	parser, commands := build(&c.options, environment)
+	c.security = securityOf(environment)
 	if err := parser.ParseArgs(arguments); err != nil {
 		_, _ = fmt.Fprintln(stderr, "savorydeal:", err)
 		return sdcommand.ExitUsage
@@ -109,7 +116,7 @@
 	parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed and not made, 2 wrong words, 3 conflict, 4 fate unknown, 5 accepted but not in force in time."
 
 	policy := flaggy.NewSubcommand("policy")
-	policy.Description = "put, get, list, delete, history, wait"
+	policy.Description = "put, get, list, delete, history, wait, status"
 	parser.AttachSubcommand(policy, 1)
 	commands := policyCommands(o, policy)
 	commands = append(commands, truthCommands(o, parser)...)
@@ -126,6 +133,10 @@
 		parser.AttachSubcommand(sub, 1)
 		commands = append(commands, command{sub: sub, run: plain.run})
 	}
+	security := flaggy.NewSubcommand("security")
+	security.Description = "show, replace"
+	parser.AttachSubcommand(security, 1)
+	commands = append(commands, securityCommands(o, security)...)
 	return parser, commands
 }
 
@@ -148,6 +159,8 @@
 	wait := add("wait", "wait until a version is in force")
 	wait.AddPositionalValue(&o.service, "SERVICE", 1, true, "service the policy is of")
 	wait.Int64(&o.version, "v", "at-least", "version to wait for; without it the newest")
+	status := add("status", "how many nodes have each policy in force, or one policy")
+	status.AddPositionalValue(&o.service, "SERVICE", 1, false, "service the policy is of; without it all")
 	for _, change := range []*flaggy.Subcommand{put, remove} {
 		change.Int64(&o.expected, "e", "expected", "version the change is made on, 0 for none; without it the newest")
 		change.String(&o.changeID, "i", "change-id", "id that makes a repeat of this change harmless; without it a new one")
@@ -162,6 +175,7 @@
 		{put, runPut},
 		{remove, runDelete},
 		{wait, runWait},
+		{status, runPolicyStatus},
 	}
 }
 
@@ -169,7 +183,7 @@
 	if format := outputFormat(c.options.output); format != outputTable && format != outputJSON {
 		return &usageError{text: fmt.Sprintf("--output %q: use table or json", c.options.output)}
 	}
-	api, err := sdoperatorapi.NewClient("http://" + c.options.admin)
+	api, err := c.connect()
 	if err != nil {
 		return &usageError{text: fmt.Sprintf("--admin %q: %v", c.options.admin, err)}
 	}
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -18,6 +18,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
 	"github.com/savorydeal/savorydeal/internal/sdtarget"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
 const (
@@ -76,7 +77,10 @@
 	if err != nil {
 		return err
 	}
-	defer l.close()
+	defer func() { l.close() }()
+	if err := n.secure(&l); err != nil {
+		return err
+	}
 	platform, err := n.newPlatform()
 	if err != nil {
 		return err
@@ -106,9 +110,14 @@
 	group.Add(func() error { return n.runJoin(background, platform) }, func(error) { cancel() })
 	group.Add(func() error { return n.runMeetingPoints(background, platform) }, func(error) { cancel() })
 	group.Add(func() error { return n.links.Serve(background, l.peer) }, func(error) { _ = l.peer.Close() })
-	for _, server := range servers.all() {
+	for _, server := range servers.local() {
 		group.Add(server.serve, func(error) { server.close() })
 	}
+	serveCallers := func() error {
+		n.waitJoined(ctx)
+		return servers.caller.serve()
+	}
+	group.Add(serveCallers, func(error) { servers.caller.close() })
 	stopped := make(chan struct{})
 	group.Add(func() error { return n.waitAndStop(ctx, servers, stopped) }, func(error) { close(stopped) })
 	n.log.Info("node started", "peer_address", n.settings.PeerAddress, "caller_address", n.settings.CallerAddress,
@@ -152,10 +161,6 @@
 	admin    *httpServer
 }
 
-func (s *httpServers) all() []*httpServer {
-	return append(s.local(), s.caller)
-}
-
 // local are the servers of the target and of operators.
 func (s *httpServers) local() []*httpServer {
 	return []*httpServer{s.onward, s.announce, s.admin}
@@ -167,6 +172,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       sdtls.ConnContext,
 	}
 	set.Attach(server)
 	return &httpServer{server: server, listener: set.Listen(listener)}
