--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -31,6 +31,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdrelay"
 	"github.com/savorydeal/savorydeal/internal/sdserve"
 	"github.com/savorydeal/savorydeal/internal/sdsettings"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
@@ -75,6 +76,7 @@
 	ids           *identifiers
 	stop          stopState
 	platform      atomic.Pointer[sdplatform.Guard]
+	keeper        atomic.Pointer[sdtls.Keeper]
 }
 
 // New returns a node that has not started. seed feeds every random choice of
