--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/savorydeal/savorydeal/internal/sdbenchfleet"
+	"github.com/savorydeal/savorydeal/internal/sdbenchoverload"
 	"github.com/savorydeal/savorydeal/internal/sdbenchpath"
 	"github.com/savorydeal/savorydeal/internal/sdbenchstop"
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
@@ -20,5 +21,6 @@
 		{Name: "fleet", Help: "membership, configuration in force and what they cost a node", Run: sdbenchfleet.Run},
 		{Name: "stop", Help: "requests cut and new work on leaving targets during planned stops", Run: sdbenchstop.Run},
 		{Name: "soak", Help: "one randomised run over everything; its argument is how long, such as 5m", Run: sdsoak.Measure},
+		{Name: "overload", Help: "goodput and recovery under overload; -- ablation weighs the mechanisms", Run: sdbenchoverload.Run},
 	}, os.Stdout, os.Stderr))
 }
