--- a/internal/sdsoak/plan.go
+++ b/internal/sdsoak/plan.go
@@ -93,10 +93,11 @@
 }
 
 // compatible takes the first kinds that do not undo one another: one fault of
-// the platform and one of the network at a time.
+// the platform (without which operators cannot race) and one of the network at a
+// time.
 func compatible(drawn []Kind, n int) []Kind {
 	groups := [][]Kind{
-		{KindPlatformDown, KindPlatformHang, KindLostAnswer},
+		{KindPlatformDown, KindPlatformHang, KindLostAnswer, KindRace},
 		{KindStalledNode, KindCut, KindReplaced, KindRollingStop},
 	}
 	var chosen []Kind
--- a/internal/sdsoak/stops.go
+++ b/internal/sdsoak/stops.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/savorydeal/savorydeal"
 )
@@ -22,14 +24,24 @@
 	for _, request := range requests {
 		for _, attempt := range request.Attempts {
 			if planned[attempt.Phase] && cutOff(attempt) {
-				findings = append(findings, Finding{FindingCutOff, fmt.Sprintf("%s %s at %s in phase %d: %s %s %v", request.Method, request.ID,
-					attempt.Entry, attempt.Phase, attempt.Result.Outcome, attempt.Result.Reason, attempt.Result.Err)})
+				findings = append(findings, Finding{FindingCutOff, fmt.Sprintf("%s %s in phase %d: %s", request.Method, request.ID, attempt.Phase, history(request))})
 			}
 		}
 	}
 	return findings
 }
 
+// history lists the attempts of a request on one line.
+func history(request Request) string {
+	var parts []string
+	for _, attempt := range request.Attempts {
+		result := attempt.Result
+		parts = append(parts, fmt.Sprintf("[phase %d at %s after %v: %d %s %s %v]", attempt.Phase, attempt.Entry,
+			result.Latency.Round(time.Millisecond), result.Status, result.Outcome, result.Reason, result.Err))
+	}
+	return strings.Join(parts, " ")
+}
+
 // cutOff tells a request that had been taken on from one that found no
 // listener.
 func cutOff(attempt Attempt) bool {
