--- a/docs_handbook_test.go
+++ b/docs_handbook_test.go
@@ -17,6 +17,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorydeal/savorydeal/internal/sdcli"
+	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
@@ -89,6 +91,41 @@
 	expectTable(t, "docs/SETTINGS.md", "| flag | variable | default | meaning |", rows)
 }
 
+// The commands of docs/POLICIES.md do with the real command line what the page
+// says.
+func TestPolicyCommands(t *testing.T) {
+	is := is.New(t)
+	admin := startNode(t).Settings.AdminAddress
+	run := func(words ...string) (int, string) {
+		var out strings.Builder
+		words = append([]string{"--admin", admin}, words...)
+		code := sdcli.Run(words, func(string) (string, bool) { return "", false }, strings.NewReader(""), &out, &out)
+		return code, out.String()
+	}
+	file := "docs/examples/khangai/review-decision.json"
+	code, text := run("policy", "put", file, "--change-id", "first-change")
+	is.Equal(code, sdcommand.ExitOK)
+	code, repeated := run("policy", "put", file, "--expected", "0", "--change-id", "first-change")
+	is.Equal(code, sdcommand.ExitOK) // a repeat of a change is harmless
+	is.Equal(repeated, text)
+	code, _ = run("policy", "put", file)
+	is.Equal(code, sdcommand.ExitOK)
+	code, text = run("policy", "put", file, "--expected", "1")
+	is.Equal(code, sdcommand.ExitConflict)
+	is.True(strings.Contains(text, "current version"))
+	code, _ = run("policy", "put", file, "--expected", "41") // newer than what the platform reads
+	is.Equal(code, sdcommand.ExitUnknown)
+	code, text = run("policy", "get", "review-decision", "-o", "json")
+	is.Equal(code, sdcommand.ExitOK)
+	is.True(strings.Contains(text, `"version": `))
+	for _, words := range [][]string{{"policy", "wait", "review-decision"}, {"policy", "history", "review-decision"}, {"policy", "list"}, {"status"}, {"nodes"}, {"dump"}} {
+		code, text = run(words...)
+		if code != sdcommand.ExitOK {
+			t.Errorf("%v ended with %d: %s", words, code, text)
+		}
+	}
+}
+
 // startNode starts one node that has seen one request.
 func startNode(t *testing.T) *sdrig.Node {
 	t.Helper()
