--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -13,7 +14,9 @@
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdpolicy"
+	"github.com/savorydeal/savorydeal/internal/sdproblem"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
+	"github.com/savorydeal/savorydeal/internal/sdtls"
 	"github.com/savorydeal/savorydeal/internal/sdunknown"
 )
 
@@ -53,6 +56,10 @@
 	// InForce asks which nodes run at least the version.
 	InForce(ctx context.Context, service string, version int64) InForce
 	Dump(ctx context.Context) []Section
+	// Security describes the certificates in force.
+	Security() Security
+	// ReplaceSecurity puts others in force.
+	ReplaceSecurity(text sdtls.PEM) error
 	// UnknownOutcomes lists the outcomes of a service; an error means that
 	// some may lack.
 	UnknownOutcomes(ctx context.Context, service, key string) ([]sdunknown.Outcome, error)
@@ -71,13 +78,20 @@
 
 var _ sdoperatorapi.Handler = (*Server)(nil)
 
+// maxRequestBytes bounds the body of an RPC; a policy is far smaller.
+const maxRequestBytes = 512 << 10
+
 // NewHandler returns the handler of the operators' RPCs.
 func NewHandler(node Node, platform savorydeal.Platform, clock savorydeal.Clock) (http.Handler, error) {
-	return sdoperatorapi.NewServer(&Server{
+	api, err := sdoperatorapi.NewServer(&Server{
 		node:    node,
 		changer: changer{platform: platform, clock: clock},
 		clock:   clock,
-	})
+	}, sdoperatorapi.WithErrorHandler(sdproblem.WriteSchemaError))
+	if err != nil {
+		return nil, fmt.Errorf("operators' schema: %w", err)
+	}
+	return http.MaxBytesHandler(api, maxRequestBytes), nil
 }
 
 // ListPolicies returns the policies in force at this node.
@@ -261,6 +275,7 @@
 	var notRun *NotRunError
 	var unknown *UnknownError
 	var invalid *sdpolicy.InvalidError
+	var certificate *sdtls.ParseError
 	problem := sdoperatorapi.Problem{Type: "about:blank", Detail: sdoperatorapi.NewOptString(err.Error())}
 	outcome := savorydeal.OutcomeNotRun
 	switch {
@@ -271,6 +286,12 @@
 		problem.Status = http.StatusUnprocessableEntity
 		problem.Field = sdoperatorapi.NewOptString(invalid.Fields[0].Field)
 		problem.Remedy = sdoperatorapi.NewOptString(invalid.Fields[0].Remedy)
+	case errors.As(err, &certificate):
+		problem.Status = http.StatusUnprocessableEntity
+		problem.Field = sdoperatorapi.NewOptString(certificate.Part)
+		problem.Remedy = sdoperatorapi.NewOptString(certificate.Remedy)
+	case errors.Is(err, ErrNotSecured):
+		problem.Status = http.StatusConflict
 	case errors.As(err, &notRun):
 		problem.Status = http.StatusServiceUnavailable
 	case errors.As(err, &unknown):
--- a/internal/sdoperatorapi/oas_server_gen.go
+++ b/internal/sdoperatorapi/oas_server_gen.go
@@ -27,6 +27,10 @@
 	//
 	// GET /v1/policies/{service}/history
 	GetPolicyHistory(ctx context.Context, params GetPolicyHistoryParams) (*PolicyHistory, error)
+	// GetSecurity implements getSecurity operation.
+	//
+	// GET /v1/security
+	GetSecurity(ctx context.Context) (*Security, error)
 	// GetStatus implements getStatus operation.
 	//
 	// GET /v1/status
@@ -61,6 +65,12 @@
 	//
 	// POST /v1/poison/{fingerprint}/release
 	ReleasePoison(ctx context.Context, params ReleasePoisonParams) (*PoisonRelease, error)
+	// ReplaceSecurity implements replaceSecurity operation.
+	//
+	// Puts other certificates in force at this node, for connections from now on.
+	//
+	// PUT /v1/security
+	ReplaceSecurity(ctx context.Context, req *SecurityChange) (*Security, error)
 	// WaitInForce implements waitInForce operation.
 	//
 	// Waits until every node that can be reached runs at least this version, or the wait ends.
