Datagrams between nodes are signed where links are secured

Cause: membership and configuration go over UDP, which the certificates of links do not cover: a forged datagram could have added members or changed a policy.

Ruled out: all of it over links (a connection to each of 35,000 nodes), signatures by certificates (64 bytes and a public-key operation a datagram), DTLS (a handshake for each pair).

Change: a ring of shared keys, the first signs, all are accepted, 16 bytes of HMAC a datagram; needed with certificates, replaced by the same RPC.

Before: a forged datagram was read.

Conclusion: datagrams are signed, not hidden.

--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -43,6 +43,8 @@
 	certificateFile string
 	keyFile         string
 	authoritiesFile string
+	// datagramKeysFile is empty to keep the keys in force.
+	datagramKeysFile string
 	// key limits a list to one key.
 	key         string
 	fingerprint string
--- a/internal/sdcli/security.go
+++ b/internal/sdcli/security.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -54,6 +55,7 @@
 	replace.String(&o.certificateFile, "c", "certificate", "PEM file of the node's certificate")
 	replace.String(&o.keyFile, "k", "key", "PEM file of its key")
 	replace.String(&o.authoritiesFile, "u", "authorities", "PEM file of the trusted authorities")
+	replace.String(&o.datagramKeysFile, "d", "datagram-keys", "file of the keys of datagrams, separated by commas; without it those in force stay")
 	security.AttachSubcommand(show, 1)
 	security.AttachSubcommand(replace, 1)
 	return []command{{show, runSecurityShow}, {replace, runSecurityReplace}}
@@ -88,6 +90,13 @@
 		}
 		*part.text = string(content)
 	}
+	if file := c.options.datagramKeysFile; file != "" {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return &usageError{text: fmt.Sprintf("--datagram-keys: %v", err)}
+		}
+		change.DatagramKeys = sdoperatorapi.NewOptString(strings.TrimSpace(string(content)))
+	}
 	security, err := c.api.ReplaceSecurity(ctx, &change)
 	if err != nil {
 		return err
--- a/internal/sdgossip/socket.go
+++ b/internal/sdgossip/socket.go
@@ -33,6 +33,8 @@
 type Socket struct {
 	conn *net.UDPConn
 	loss float64
+	// keyring is nil for datagrams without signatures.
+	keyring *Keyring
 
 	addresses sync.Map
 
@@ -42,8 +44,9 @@
 }
 
 // Listen opens the socket. loss is the share of datagrams to drop when they
-// are received, for tests; 0 in service.
-func Listen(address string, loss float64) (*Socket, error) {
+// are received, for tests; 0 in service. keyring signs datagrams; with nil they
+// have no signature.
+func Listen(address string, loss float64, keyring *Keyring) (*Socket, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for datagrams on %s: %w", address, err)
@@ -52,7 +55,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for datagrams on %s: %w", address, err)
 	}
-	return &Socket{conn: conn, loss: loss}, nil
+	return &Socket{conn: conn, loss: loss, keyring: keyring}, nil
 }
 
 // Send sends a datagram. Like any datagram it may be lost.
@@ -65,6 +68,9 @@
 	if err != nil {
 		return err
 	}
+	if s.keyring != nil {
+		bytes = s.keyring.seal(bytes)
+	}
 	s.sentBytes.Add(int64(len(bytes)) + headerBytes)
 	s.sentDatagrams.Add(1)
 	if _, err := s.conn.WriteToUDPAddrPort(bytes, address); err != nil {
@@ -107,7 +113,14 @@
 		}
 		s.receivedBytes.Add(int64(n) + headerBytes)
 		s.receivedDatagrams.Add(1)
-		datagram, err := Decode(buffer[:n], now())
+		message, ok := buffer[:n], true
+		if s.keyring != nil {
+			message, ok = s.keyring.open(message)
+		}
+		if !ok {
+			continue
+		}
+		datagram, err := Decode(message, now())
 		if err != nil {
 			continue
 		}
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -20,6 +20,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdcarrier"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
 	"github.com/savorydeal/savorydeal/internal/sdentry"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdkeyed"
 	"github.com/savorydeal/savorydeal/internal/sdlink"
 	"github.com/savorydeal/savorydeal/internal/sdmetrics"
@@ -76,6 +77,7 @@
 	ids           *identifiers
 	stop          stopState
 	platform      atomic.Pointer[sdplatform.Guard]
+	keyring       atomic.Pointer[sdgossip.Keyring]
 	keeper        atomic.Pointer[sdtls.Keeper]
 }
 
--- a/internal/sdnode/run.go
+++ b/internal/sdnode/run.go
@@ -94,7 +94,7 @@
 		n.log.Info("stopped before serving")
 		return nil
 	}
-	if n.fleet.socket, err = sdgossip.Listen(n.settings.PeerAddress, n.settings.TestLoss); err != nil {
+	if n.fleet.socket, err = sdgossip.Listen(n.settings.PeerAddress, n.settings.TestLoss, n.keyring.Load()); err != nil {
 		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/sdnode/security.go
+++ b/internal/sdnode/security.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdoperator"
 	"github.com/savorydeal/savorydeal/internal/sdproblem"
 	"github.com/savorydeal/savorydeal/internal/sdtls"
@@ -19,6 +20,9 @@
 // secure puts the certificates of the settings in force for links and for the
 // operators' address. Without any, both stay plain.
 func (n *Node) secure(l *listeners) error {
+	if err := n.secureDatagrams(); err != nil {
+		return err
+	}
 	text := n.settings.Security()
 	if text.Empty() {
 		return nil
@@ -41,6 +45,27 @@
 	return nil
 }
 
+// secureDatagrams signs datagrams if there are keys.
+func (n *Node) secureDatagrams() error {
+	if n.settings.DatagramKeys == "" {
+		return nil
+	}
+	keyring, err := sdgossip.NewKeyring(n.settings.DatagramKeys)
+	if err != nil {
+		return fmt.Errorf("datagram keys: %w", err)
+	}
+	n.keyring.Store(keyring)
+	n.metrics.Counter("datagrams_refused_total", "Datagrams of other nodes without a valid signature.", func() float64 {
+		return float64(keyring.Refused())
+	})
+	return nil
+}
+
+// Metrics returns the handler of the node's metrics.
+func (n *Node) Metrics() http.Handler {
+	return n.metrics.Handler()
+}
+
 // Security describes the certificates in force.
 func (n *Node) Security() sdoperator.Security {
 	keeper := n.keeper.Load()
@@ -52,15 +77,27 @@
 }
 
 // ReplaceSecurity puts other certificates in force.
-func (n *Node) ReplaceSecurity(text sdtls.PEM) error {
+// datagramKeys are kept if they are empty.
+func (n *Node) ReplaceSecurity(text sdtls.PEM, datagramKeys string) error {
 	keeper := n.keeper.Load()
 	if keeper == nil {
 		return sdoperator.ErrNotSecured
 	}
+	keyring := n.keyring.Load()
+	if datagramKeys != "" {
+		if _, err := sdgossip.ParseKeys(datagramKeys); err != nil || keyring == nil {
+			return &sdtls.ParseError{Part: "datagram_keys", Cause: err, Remedy: "start the node with keys, and give them separated by commas"}
+		}
+	}
 	material, err := keeper.Replace(text)
 	if err != nil {
 		return err
 	}
+	if datagramKeys != "" {
+		if err := keyring.Replace(datagramKeys); err != nil {
+			return err
+		}
+	}
 	n.log.Info("certificates replaced", "not_after", material.NotAfter.UTC().Format(time.RFC3339))
 	return nil
 }
--- a/internal/sdoperator/security.go
+++ b/internal/sdoperator/security.go
@@ -26,7 +26,8 @@
 
 // ReplaceSecurity puts other certificates in force.
 func (s *Server) ReplaceSecurity(_ context.Context, req *sdoperatorapi.SecurityChange) (*sdoperatorapi.Security, error) {
-	err := s.node.ReplaceSecurity(sdtls.PEM{Certificate: req.Certificate, Key: req.Key, Authorities: req.Authorities})
+	text := sdtls.PEM{Certificate: req.Certificate, Key: req.Key, Authorities: req.Authorities}
+	err := s.node.ReplaceSecurity(text, req.DatagramKeys.Or(""))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sdoperator/server.go
+++ b/internal/sdoperator/server.go
@@ -56,8 +56,9 @@
 	Dump(ctx context.Context) []Section
 	// Security describes the certificates in force.
 	Security() Security
-	// ReplaceSecurity puts others in force.
-	ReplaceSecurity(text sdtls.PEM) error
+	// ReplaceSecurity puts others in force, and other keys of datagrams unless
+	// they are empty.
+	ReplaceSecurity(text sdtls.PEM, datagramKeys string) error
 	// UnknownOutcomes lists the outcomes of a service; an error means that
 	// some may lack.
 	UnknownOutcomes(ctx context.Context, service, key string) ([]sdunknown.Outcome, error)
--- a/internal/sdoperatorapi/oas_json_gen.go
+++ b/internal/sdoperatorapi/oas_json_gen.go
@@ -2643,12 +2643,19 @@
 		e.FieldStart("authorities")
 		e.Str(s.Authorities)
 	}
+	{
+		if s.DatagramKeys.Set {
+			e.FieldStart("datagram_keys")
+			s.DatagramKeys.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfSecurityChange = [3]string{
+var jsonFieldsNameOfSecurityChange = [4]string{
 	0: "certificate",
 	1: "key",
 	2: "authorities",
+	3: "datagram_keys",
 }
 
 // Decode decodes SecurityChange from json.
@@ -2696,6 +2703,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"authorities\"")
 			}
+		case "datagram_keys":
+			if err := func() error {
+				s.DatagramKeys.Reset()
+				if err := s.DatagramKeys.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"datagram_keys\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/sdoperatorapi/oas_schemas_gen.go
+++ b/internal/sdoperatorapi/oas_schemas_gen.go
@@ -1160,6 +1160,8 @@
 	Key string `json:"key"`
 	// PEM text of the trusted authorities.
 	Authorities string `json:"authorities"`
+	// Keys of datagrams, separated by commas; the first signs. Without them those in force stay.
+	DatagramKeys OptString `json:"datagram_keys"`
 }
 
 // GetCertificate returns the value of Certificate.
@@ -1177,6 +1179,11 @@
 	return s.Authorities
 }
 
+// GetDatagramKeys returns the value of DatagramKeys.
+func (s *SecurityChange) GetDatagramKeys() OptString {
+	return s.DatagramKeys
+}
+
 // SetCertificate sets the value of Certificate.
 func (s *SecurityChange) SetCertificate(val string) {
 	s.Certificate = val
@@ -1192,6 +1199,11 @@
 	s.Authorities = val
 }
 
+// SetDatagramKeys sets the value of DatagramKeys.
+func (s *SecurityChange) SetDatagramKeys(val OptString) {
+	s.DatagramKeys = val
+}
+
 // Ref: #/components/schemas/Status
 type Status struct {
 	Node              string    `json:"node"`
--- a/internal/sdsettings/security.go
+++ b/internal/sdsettings/security.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
@@ -34,6 +35,17 @@
 	}
 }
 
+func datagramKeys(settings *Settings, text string) error {
+	if text == "" {
+		return nil
+	}
+	if _, err := sdgossip.ParseKeys(text); err != nil {
+		return err
+	}
+	settings.DatagramKeys = text
+	return nil
+}
+
 func operatorRole(settings *Settings, text string) error {
 	switch text {
 	case operatorRead, operatorWrite:
@@ -51,7 +63,7 @@
 	var mistakes []Error
 	for _, setting := range All() {
 		if settings.missesSecurity(setting.Flag) {
-			mistakes = append(mistakes, Error{Setting: setting, Problem: errors.New("is empty; give all three of --tls-certificate, --tls-key and --tls-authorities, or none")})
+			mistakes = append(mistakes, Error{Setting: setting, Problem: errors.New("is empty; give all of --tls-certificate, --tls-key, --tls-authorities and --datagram-keys, or none of the first three")})
 		}
 	}
 	if len(mistakes) > 0 {
@@ -80,6 +92,8 @@
 		return s.TLSKey == ""
 	case "tls-authorities":
 		return s.TLSAuthorities == ""
+	case "datagram-keys":
+		return s.DatagramKeys == ""
 	}
 	return false
 }
--- a/internal/sdsettings/settings.go
+++ b/internal/sdsettings/settings.go
@@ -44,6 +44,9 @@
 	TLSAuthorities string
 	// OperatorRole is what operators may do without certificates.
 	OperatorRole string
+	// DatagramKeys sign datagrams between nodes; the first signs, all are
+	// accepted.
+	DatagramKeys string
 	// TestLoss is the share of datagrams between nodes that are dropped on
 	// purpose, for tests of loss.
 	TestLoss float64
@@ -107,6 +110,7 @@
 		{Flag: "tls-certificate", Help: "PEM text of this node's certificate; with it links between nodes and the admin address are secured", read: text(func(s *Settings) *string { return &s.TLSCertificate })},
 		{Flag: "tls-key", Help: "PEM text of the certificate's key; better given as the variable", read: text(func(s *Settings) *string { return &s.TLSKey })},
 		{Flag: "tls-authorities", Help: "PEM text of the certificates of trusted authorities", read: text(func(s *Settings) *string { return &s.TLSAuthorities })},
+		{Flag: "datagram-keys", Help: "keys that sign datagrams between nodes, separated by commas, each of 32 characters or more; needed with certificates", read: datagramKeys},
 		{Flag: "operator-role", Default: "write", Help: "read or write: what operators may do at a node without certificates", read: operatorRole},
 		{Flag: "test-loss", Default: "0", Help: "share of datagrams between nodes to drop, from 0 to 0.9, for tests only", read: testLoss},
 		{Flag: "log-level", Default: "info", Help: "debug, info, warn or error", read: logLevel},
@@ -270,6 +274,7 @@
 		{"--tls-key", s.TLSKey},
 		{"--tls-authorities", s.TLSAuthorities},
 		{"--operator-role", s.OperatorRole},
+		{"--datagram-keys", s.DatagramKeys},
 	} {
 		if optional.value != "" {
 			flags = append(flags, optional.flag, optional.value)
