A keyed call during the planned stop of its owner waits for the next owner

Ruled out: this node's rate of calls to the platform (a service has 8 parts, so a hand-over is a few writes); asking more often for every owner out of reach (after a crash it has no successor for minutes).

Change: while the owner is known to have left, its parts are read again every 200 ms for at most 5 s, and a call waits for that up to 3 s within its deadline. Who decides, and on what proof, is as before.

--- a/internal/sdkeyed/fleet_test.go
+++ b/internal/sdkeyed/fleet_test.go
@@ -193,7 +193,7 @@
 	for _, name := range n.roster {
 		if other := n.fleet.nodes[name]; other != nil {
 			member := other.member
-			if other.stop {
+			if other.stop && member.State == savorydeal.MemberAlive {
 				member.State = savorydeal.MemberDead
 			}
 			members = append(members, member)
--- a/internal/sdkeyed/parts.go
+++ b/internal/sdkeyed/parts.go
@@ -19,6 +19,12 @@
 	TakeoverAfter = 10 * time.Minute
 	// rereadAfter bounds the reads of one part's owner.
 	rereadAfter = 5 * time.Second
+	// missedReread bounds the reads of a part whose owner is out of reach: it
+	// may have handed the part over since it was last read.
+	missedReread = 200 * time.Millisecond
+	// handoverWaits bounds how often a call waits for a planned change of
+	// owner, missedReread each time.
+	handoverWaits = 15
 )
 
 // Parts finds the owner of a part of a service's keys, becomes it where there
@@ -80,7 +86,7 @@
 	part := p.part(id)
 	// A try id names one sending to one node.
 	call.TryID = ""
-	for {
+	for waits := 0; ; {
 		owner, err := p.resolve(ctx, id, part, call)
 		if err != nil {
 			return savorydeal.Answer{}, unresolved(err)
@@ -94,9 +100,46 @@
 			return answer, err
 		}
 		taken, err := p.missed(ctx, id, part, owner, call)
-		if err != nil || !taken {
+		if err != nil {
 			return savorydeal.Answer{}, unresolved(err)
 		}
+		if taken {
+			continue
+		}
+		waits++
+		if waits > handoverWaits || !p.leaving(owner) || !p.wait(ctx) {
+			return savorydeal.Answer{}, unresolved(nil)
+		}
+	}
+}
+
+// reread is the least time between reads of a part whose owner is out of reach.
+// Soon after a planned stop the part has another owner any moment; after a
+// crash it has none for long, and the platform must not be asked all the time.
+func (p *Parts) reread(now time.Time, part *knownPart, owner sdkeys.PartOwner) time.Duration {
+	if p.leaving(owner) && now.Sub(part.missedSince) < rereadAfter {
+		return missedReread
+	}
+	return rereadAfter
+}
+
+// leaving reports whether the owner stops as planned, so that its parts are
+// with another node soon.
+func (p *Parts) leaving(owner sdkeys.PartOwner) bool {
+	for _, member := range p.Members() {
+		if member.Node == owner.Node {
+			return member.State == savorydeal.MemberLeft
+		}
+	}
+	return false
+}
+
+func (p *Parts) wait(ctx context.Context) bool {
+	select {
+	case <-p.Owner.clock.After(missedReread):
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -205,9 +248,9 @@
 	k.missedSince = time.Time{}
 }
 
-// missed notes that an owner is out of reach and takes its part over when it
-// is proved dead or has been away for long. It reports whether the part is
-// this node's now.
+// missed notes that an owner is out of reach, looks whether another has the
+// part by now, and takes it over when the owner is proved dead or has been away
+// for long. It reports whether the part has an owner to go on with.
 func (p *Parts) missed(ctx context.Context, id partID, part *knownPart, owner sdkeys.PartOwner, call savorydeal.Call) (bool, error) {
 	part.mu.Lock()
 	defer part.mu.Unlock()
@@ -216,8 +259,9 @@
 		part.missedSince = now
 	}
 	dead := p.provedDead(owner)
-	if !dead && now.Sub(part.missedSince) < TakeoverAfter {
-		return false, nil
+	takeOver := dead || now.Sub(part.missedSince) >= TakeoverAfter
+	if !takeOver && now.Sub(part.read) < p.reread(now, part, owner) {
+		return part.kept.owner.Incarnation != owner.Incarnation, nil
 	}
 	found, err := store{p.Platform}.read(ctx, KindPart, nameOf(id))
 	if err != nil {
@@ -229,6 +273,9 @@
 		part.missedSince = time.Time{}
 		return true, nil
 	}
+	if !takeOver {
+		return false, nil
+	}
 	self := p.selfAs(max(call.KeyRetention, owner.Retention))
 	err = p.write(ctx, id, part, self, func(asked, answered time.Time, version int64) sdkeys.Holding {
 		return sdkeys.TakeOver(asked, answered, version, owner, dead, self.Retention)
