--- a/internal/sdnode/security_test.go
+++ b/internal/sdnode/security_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdplatform"
 	"github.com/savorydeal/savorydeal/internal/sdrecord"
@@ -22,7 +24,10 @@
 	"github.com/savorydeal/savorydeal/internal/sdtls"
 )
 
-const certificateLife = 10 * time.Hour
+const (
+	certificateLife = 10 * time.Hour
+	testDatagramKey = "0123456789abcdef0123456789abcdef"
+)
 
 // secureBed is a fleet whose nodes have certificates of one authority.
 type secureBed struct {
@@ -62,6 +67,7 @@
 	node, err := b.rig.StartNode(sdrig.NodeSpec{DataCentre: "dc-1", Region: "r-1", Edit: func(s *sdsettings.Settings) {
 		if authority != nil {
 			text := sign(b.t, authority, sdtls.RoleNode)
+			s.DatagramKeys = testDatagramKey
 			s.TLSCertificate, s.TLSKey, s.TLSAuthorities = text.Certificate, text.Key, text.Authorities
 		}
 		if edit != nil {
@@ -140,6 +146,19 @@
 		}
 		is.Equal(len(node.Inside.Members()), 1)
 	}
+	// A datagram without a signature is not read.
+	forged, err := sdgossip.Listen("127.0.0.1:0", 0, nil)
+	is.NoErr(err)
+	defer func() { _ = forged.Close() }()
+	b.waitFor("refusal counted", func() bool {
+		if err := forged.Send(entry.Settings.PeerAddress, sdgossip.Datagram{ConfigDigest: 1}, time.Now()); err != nil {
+			return false
+		}
+		metrics := httptest.NewRecorder()
+		entry.Inside.Metrics().ServeHTTP(metrics, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return strings.Contains(metrics.Body.String(), "savorydeal_datagrams_refused_total") &&
+			!strings.Contains(metrics.Body.String(), "savorydeal_datagrams_refused_total 0")
+	})
 	// Plain text is refused on the operators' address.
 	_, err = entry.Operators.GetStatus(b.ctx)
 	is.True(err != nil)
