The fleet's measure prints the planned stops beside its own figures

Cause: leaving and cut requests are measured by sdbenchstop as callers see them; the fleet's line gave only its own view of both.

Ruled out: running the stops after the fleet, which takes the short measure beyond 50 s.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	@mkdir -p docs/measurements
 	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
 	go run ./cmd/savorydeal-bench stop > docs/measurements/stop.md
+	go run ./cmd/savorydeal-bench fleet > docs/measurements/fleet.md
 
 # One randomised run over everything, with its schedule of faults by SEED.
 soak:
--- a/internal/sdbenchfleet/report.go
+++ b/internal/sdbenchfleet/report.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal/internal/sdbench"
+	"github.com/savorydeal/savorydeal/internal/sdbenchstop"
 )
 
 func quantile(sorted []time.Duration, share float64) time.Duration {
@@ -20,7 +21,7 @@
 	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 }
 
-func report(options sdbench.Options, all []measured) error {
+func report(options sdbench.Options, all []measured, stops sdbenchstop.Figures) error {
 	_, _ = fmt.Fprintf(options.Out, "Machine: %s. %.0f%% of all datagrams are dropped on purpose in every phase.\n\n",
 		sdbench.Machine(), 100*loss)
 	rows := [][]string{{
@@ -48,16 +49,19 @@
 	if err := printSlopes(options, all); err != nil {
 		return err
 	}
+	if err := reportStops(options, stops); err != nil {
+		return err
+	}
 	last := all[len(all)-1]
 	slices.Sort(last.config)
 	return sdbench.PrintFigures(options.Out, []sdbench.Figure{
 		{Name: "nodes", Value: float64(last.nodes)},
 		{Name: "config_p99_s", Value: quantile(last.config, 0.99).Seconds()},
 		{Name: "config_max_s", Value: quantile(last.config, 1).Seconds()},
-		{Name: "leaving_max_s", Value: last.leaving.Seconds()},
+		{Name: "leaving_max_s", Value: max(last.leaving.Seconds(), stops.LeavingMax)},
 		{Name: "detect_max_s", Value: last.detect.Seconds()},
 		{Name: "false_deaths", Value: float64(last.falseDeaths)},
-		{Name: "cut_requests", Value: float64(last.cutRequests)},
+		{Name: "cut_requests", Value: float64(last.cutRequests + stops.CutRequests)},
 		{Name: "control_bytes_s", Value: last.maxBytes},
 		{Name: "control_core_pct", Value: last.maxCore},
 		{Name: "platform_calls_s", Value: last.platformCalls},
--- a/internal/sdbenchfleet/run.go
+++ b/internal/sdbenchfleet/run.go
@@ -83,6 +83,7 @@
 	if options.Quick {
 		calm, changes = quickCalm, quickChanges
 	}
+	stopping := startStops(options)
 	var all []measured
 	for _, size := range sizes {
 		one, err := measure(size, calm, changes)
@@ -91,7 +92,11 @@
 		}
 		all = append(all, one)
 	}
-	if err := report(options, all); err != nil {
+	stops := <-stopping
+	if stops.err != nil {
+		return fmt.Errorf("planned stops: %w", stops.err)
+	}
+	if err := report(options, all, stops.figures); err != nil {
 		return err
 	}
 	return expectFaults(all)
