--- a/internal/sdlink/link.go
+++ b/internal/sdlink/link.go
@@ -97,6 +97,7 @@
 	closed   bool
 	silent   int
 	dialer   atomic.Pointer[Dialer]
+	cut      func(address string) bool
 }
 
 type dial struct {
@@ -186,6 +187,10 @@
 		l.mu.Unlock()
 		return nil, fmt.Errorf("open link to %s: links are closed", address)
 	}
+	if l.cut != nil && l.cut(address) {
+		l.mu.Unlock()
+		return nil, fmt.Errorf("open link to %s: the network is cut", address)
+	}
 	if known := l.links[address]; known != nil && !known.session.IsClosed() {
 		l.mu.Unlock()
 		return known, nil
