One lease in four is kept for targets of other data centres

Cause: with 16 targets or more in its own data centre a node held no lease of any other, so that placement's spill to a neighbour with room found nobody.

Ruled out: more leases (each costs 176 bytes/s both ways without traffic).

Now: one place in four goes to other data centres if they have targets. A table of the choices is the test.

--- a/internal/sdroster/lease.go
+++ b/internal/sdroster/lease.go
@@ -26,6 +26,8 @@
 	// minPerService goes before it.
 	maxLeases     = 16
 	minPerService = 4
+	// placesForOthers keeps one lease in so many for other data centres.
+	placesForOthers = 4
 	// maxAskers bounds the nodes that are told of a change at once.
 	maxAskers = 256
 )
@@ -296,8 +298,7 @@
 		share = max(minPerService, maxLeases/len(t.interests))
 	}
 	for _, members := range candidates {
-		r.sortByPreference(members)
-		for _, member := range members[:min(share, len(members))] {
+		for _, member := range r.preferred(members, share) {
 			r.hold(member)
 		}
 	}
@@ -308,6 +309,23 @@
 	}
 }
 
+// preferred picks the own data centre first, but keeps one place in four for
+// others if they have targets: to these a node sends what its own data centre
+// has no room for.
+func (r *Roster) preferred(members []savorydeal.Member, share int) []savorydeal.Member {
+	if len(members) <= share {
+		return members
+	}
+	r.sortByPreference(members)
+	local := 0
+	for local < len(members) && members[local].DataCentre == r.self.DataCentre {
+		local++
+	}
+	others := min(share/placesForOthers, len(members)-local)
+	fromLocal := min(local, share-others)
+	return append(slices.Clone(members[:fromLocal]), members[local:local+share-fromLocal]...)
+}
+
 func (r *Roster) hold(member savorydeal.Member) {
 	held := r.leases.leases[member.Node]
 	if held == nil {
--- a/internal/sdroster/roster_test.go
+++ b/internal/sdroster/roster_test.go
@@ -1,6 +1,7 @@
 package sdroster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -190,3 +191,54 @@
 	is.True(leases.Routable(sent.Add(sdroster.LeaseTerm-time.Millisecond), target))
 	is.True(!leases.Routable(sent.Add(sdroster.LeaseTerm), target))
 }
+
+// However many targets a service has, a node holds few leases, most of them in
+// its own data centre and some in others, for what its own has no room for.
+func TestLeasesAreFewAndReachOtherDataCentres(t *testing.T) {
+	for _, test := range []struct {
+		name                string
+		local, remote       int
+		wantLocal, wantRest int
+	}{
+		{"few targets", 3, 3, 3, 3},
+		{"many in both", 40, 40, 12, 4},
+		{"many here only", 40, 0, 16, 0},
+		{"many elsewhere only", 0, 40, 0, 16},
+		{"few here, many elsewhere", 2, 40, 2, 14},
+		{"many here, one elsewhere", 40, 1, 15, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			self := savorydeal.Member{Node: "10.0.0.1:7000", PeerAddress: "10.0.0.1:7000", DataCentre: "dc1", Region: "r1"}
+			roster := sdroster.New(self, nil, newWorld(nil, 1, 0).random)
+			var members []savorydeal.Member
+			for i := range test.local + test.remote {
+				one := member(1, 1, savorydeal.MemberAlive)
+				one.PeerAddress = fmt.Sprintf("10.0.1.%d:7000", i+1)
+				one.Node = savorydeal.NodeID(one.PeerAddress)
+				one.DataCentre, one.Region = "dc1", "r1"
+				if i >= test.local {
+					one.DataCentre = "dc2"
+				}
+				members = append(members, one)
+			}
+			roster.Learn(epoch, members)
+			asked := make(map[string]bool)
+			for _, packet := range roster.Interest(epoch, service) {
+				asked[packet.To] = true
+			}
+			local, rest := 0, 0
+			for _, one := range members {
+				switch {
+				case !asked[one.PeerAddress]:
+				case one.DataCentre == "dc1":
+					local++
+				default:
+					rest++
+				}
+			}
+			is.Equal(local, test.wantLocal)
+			is.Equal(rest, test.wantRest)
+		})
+	}
+}
