--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -15,10 +15,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", operators)
 	mux.Handle("GET /metrics", n.metrics.Handler())
-	return mux
+	return n.guardRole(mux)
 }
 
 func (n *Node) registerGauges() {
+	n.registerPressureGauges()
 	n.metrics.Gauge("target_running", "Calls running on this VM's target.", func() float64 {
 		return float64(n.admitter.Signal().Running)
 	})
@@ -113,6 +114,7 @@
 		section("members", members),
 		section("policies", policies),
 		section("target", target),
+		section("pressure", n.dumpPressure()),
 		section("keys", n.dumpKeys()),
 		section("runs", runsDump{Wasted: n.server.Wasted()}),
 		section("poison", dumpPoison(n.Poison())),
--- a/internal/sdoperatorapi/oas_operations_gen.go
+++ b/internal/sdoperatorapi/oas_operations_gen.go
@@ -10,6 +10,7 @@
 	GetDumpOperation             OperationName = "GetDump"
 	GetPolicyOperation           OperationName = "GetPolicy"
 	GetPolicyHistoryOperation    OperationName = "GetPolicyHistory"
+	GetSecurityOperation         OperationName = "GetSecurity"
 	GetStatusOperation           OperationName = "GetStatus"
 	ListNodesOperation           OperationName = "ListNodes"
 	ListPoisonOperation          OperationName = "ListPoison"
@@ -17,5 +18,6 @@
 	ListUnknownOutcomesOperation OperationName = "ListUnknownOutcomes"
 	PutPolicyOperation           OperationName = "PutPolicy"
 	ReleasePoisonOperation       OperationName = "ReleasePoison"
+	ReplaceSecurityOperation     OperationName = "ReplaceSecurity"
 	WaitInForceOperation         OperationName = "WaitInForce"
 )
--- a/internal/sdoperatorapi/oas_unimplemented_gen.go
+++ b/internal/sdoperatorapi/oas_unimplemented_gen.go
@@ -44,6 +44,13 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetSecurity implements getSecurity operation.
+//
+// GET /v1/security
+func (UnimplementedHandler) GetSecurity(ctx context.Context) (r *Security, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetStatus implements getStatus operation.
 //
 // GET /v1/status
@@ -99,6 +106,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ReplaceSecurity implements replaceSecurity operation.
+//
+// Puts other certificates in force at this node, for connections from now on.
+//
+// PUT /v1/security
+func (UnimplementedHandler) ReplaceSecurity(ctx context.Context, req *SecurityChange) (r *Security, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // WaitInForce implements waitInForce operation.
 //
 // Waits until every node that can be reached runs at least this version, or the wait ends.
