--- a/internal/sdnode/duty.go
+++ b/internal/sdnode/duty.go
@@ -22,6 +22,9 @@
 	// joinAgain is how often views are exchanged after the first time.
 	joinAgain      = 2
 	joinAgainAfter = 2 * time.Second
+	// healShare is the part of these waits after which a lost meeting point is
+	// tried.
+	healShare = 1.0 / 16
 	// joinAlone is how long the meeting points of the settings are tried
 	// before the platform is asked for others.
 	joinAlone    = 2 * time.Second
@@ -116,6 +119,8 @@
 			if again > 0 {
 				again--
 				n.joinAny(ctx)
+			} else if n.settings.TLSCertificate != "" && waits.random.Float64() < healShare {
+				n.joinLost(ctx)
 			}
 			continue
 		}
@@ -137,6 +142,20 @@
 	return nil
 }
 
+// joinLost joins through a meeting point that is not known, over a link: a
+// secured node takes no datagram of a node that it has forgotten in a long cut.
+func (n *Node) joinLost(ctx context.Context) {
+	point, err := ask(ctx, n, func(c *control) string {
+		if point, lost := c.roster.LostMeetingPoint(); lost {
+			return point
+		}
+		return ""
+	})
+	if err == nil && point != "" {
+		n.join(ctx, point)
+	}
+}
+
 func (n *Node) joinAny(ctx context.Context) {
 	addresses, _ := ask(ctx, n, func(c *control) []string { return c.roster.Pick(1) })
 	for _, address := range addresses {
--- a/internal/sdnode/fleet.go
+++ b/internal/sdnode/fleet.go
@@ -33,8 +33,10 @@
 	// joined tells whether another node is known.
 	joined atomic.Bool
 	// linkBytes counts control messages over links.
-	linkBytes     atomic.Int64
-	dropped       atomic.Int64
+	linkBytes atomic.Int64
+	dropped   atomic.Int64
+	// strangers counts datagrams of unknown nodes that were dropped.
+	strangers     atomic.Int64
 	platformCalls atomic.Int64
 }
 
@@ -80,6 +82,12 @@
 
 func (n *Node) takeDatagram(ctx context.Context, c *control, from string, datagram sdgossip.Datagram) {
 	now := n.clock.Now()
+	if n.settings.TLSCertificate != "" && !c.roster.Knows(from) {
+		// Datagrams are not signed: a node comes into a secured view only by an
+		// exchange over a link, which proves its certificate.
+		n.fleet.strangers.Add(1)
+		return
+	}
 	switch {
 	case datagram.Membership != nil:
 		n.sendMembership(c, c.roster.Receive(now, from, *datagram.Membership))
@@ -230,6 +238,7 @@
 	gauge("control_link_bytes", "Bytes of control messages over links, both ways.", n.fleet.linkBytes.Load)
 	gauge("control_datagrams_lost_on_purpose", "Datagrams dropped by the setting for tests.", func() int64 { return counts().Dropped })
 	gauge("control_datagrams_overrun", "Datagrams dropped since control was behind.", n.fleet.dropped.Load)
+	gauge("control_datagrams_of_strangers", "Datagrams dropped since links are secured and their sender is no member.", n.fleet.strangers.Load)
 	gauge("platform_calls", "Calls on the platform by this node's duties.", n.fleet.platformCalls.Load)
 	gauge("platform_duty_rank", "Place among the watchers of the data centre, -1 for none.", n.fleet.rank.Load)
 	gauge("members_suspected", "Times a member became suspect in this view.", func() int64 { return int64(n.fleet.stats.Load().Suspicions) })
--- a/internal/sdroster/roster.go
+++ b/internal/sdroster/roster.go
@@ -144,6 +144,17 @@
 	return points[r.random.IntN(len(points))], true
 }
 
+// Knows reports whether the view holds the node at a peer address, in any state.
+func (r *Roster) Knows(address string) bool {
+	return r.others[savorydeal.NodeID(address)] != nil
+}
+
+// LostMeetingPoint returns a meeting point that the view does not hold as live.
+func (r *Roster) LostMeetingPoint() (string, bool) {
+	point, ok := r.MeetingPoint()
+	return point, ok && !r.knows(point)
+}
+
 // Joined reports whether the view holds another live node.
 func (r *Roster) Joined() bool {
 	return len(r.live) > 0
