--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,7 @@
 	go run ./cmd/savorydeal-bench path > docs/measurements/path.md
 	go run ./cmd/savorydeal-bench truth > docs/measurements/truth.md
 	go run ./cmd/savorydeal-bench stop > docs/measurements/stop.md
+	go run ./cmd/savorydeal-bench fleet > docs/measurements/fleet.md
 
 # One randomised run over everything, with its schedule of faults by SEED.
 soak:
