--- a/internal/sdnode/exchange.go
+++ b/internal/sdnode/exchange.go
@@ -62,11 +62,11 @@
 
 // join exchanges whole views and configuration with a node.
 func (n *Node) join(ctx context.Context, address string) {
-	var messages []*sdpeerpb.ControlMessage
-	_ = n.do(ctx, func(c *control) { messages = n.membersMessages(c)[:1] })
-	for _, message := range messages {
-		n.exchange(ctx, address, message, joinTimeout)
+	messages, err := ask(ctx, n, n.membersMessages)
+	if err != nil {
+		return
 	}
+	n.exchange(ctx, address, messages[0], joinTimeout)
 }
 
 // fetch fetches objects from a node.
@@ -104,10 +104,32 @@
 			return
 		}
 		n.fleet.linkBytes.Add(int64(proto.Size(&reply)))
-		n.take(ctx, &reply)
+		n.takeReply(ctx, &reply)
+	}
+}
+
+// takeReply takes an answer of this node's own exchange.
+func (n *Node) takeReply(ctx context.Context, reply *sdpeerpb.ControlMessage) {
+	switch kind := reply.GetMessage().(type) {
+	case *sdpeerpb.ControlMessage_Members:
+		_ = n.do(ctx, func(c *control) {
+			now := n.clock.Now()
+			c.roster.Learn(now, decodeMembers(kind.Members, now))
+			n.publishMembers(c)
+		})
+	case *sdpeerpb.ControlMessage_Policies:
+		n.apply(ctx, sdgossip.DecodeObjects(kind.Policies.GetPolicies()))
 	}
 }
 
+func decodeMembers(members *sdpeerpb.Members, now time.Time) []savorydeal.Member {
+	decoded := make([]savorydeal.Member, 0, len(members.GetMembers()))
+	for _, member := range members.GetMembers() {
+		decoded = append(decoded, sdwire.DecodeMember(member, now))
+	}
+	return decoded
+}
+
 // serveControl answers one exchange.
 func (n *Node) serveControl(ctx context.Context, stream *sdlink.Stream) {
 	_ = stream.SetReadDeadline(time.Now().Add(exchangeTimeout))
@@ -138,39 +160,28 @@
 }
 
 func (n *Node) takeMembers(ctx context.Context, members *sdpeerpb.Members) []*sdpeerpb.ControlMessage {
-	var replies []*sdpeerpb.ControlMessage
-	err := n.do(ctx, func(c *control) {
+	replies, _ := ask(ctx, n, func(c *control) []*sdpeerpb.ControlMessage {
 		now := n.clock.Now()
-		decoded := make([]savorydeal.Member, 0, len(members.GetMembers()))
-		for _, member := range members.GetMembers() {
-			decoded = append(decoded, sdwire.DecodeMember(member, now))
-		}
-		c.roster.Merge(now, decoded)
+		c.roster.Merge(now, decodeMembers(members, now))
 		n.publishMembers(c)
-		replies = n.membersMessages(c)
+		replies := n.membersMessages(c)
 		if members.GetPolicyDigest() != c.store.Digest() {
 			replies = append(replies, objectsMessages(c.store.Objects())...)
 		}
+		return replies
 	})
-	if err != nil {
-		// The event may still run and write its replies.
-		return nil
-	}
 	return replies
 }
 
 func (n *Node) giveObjects(ctx context.Context, fetch *sdpeerpb.ConfigFetch) []*sdpeerpb.ControlMessage {
-	var objects []savorydeal.Object
-	err := n.do(ctx, func(c *control) {
+	objects, _ := ask(ctx, n, func(c *control) []savorydeal.Object {
+		var objects []savorydeal.Object
 		for _, name := range fetch.GetObjects() {
 			if entry, ok := c.store.Entry(sdconfig.Key{Kind: name.GetKind(), Name: name.GetName()}); ok {
 				objects = append(objects, entry.Newest)
 			}
 		}
+		return objects
 	})
-	if err != nil {
-		// The event may still run and write its objects.
-		return nil
-	}
 	return objectsMessages(objects)
 }
