A resend of a request that has run is not refused at the door as not run

Cause: the door stood before the router of keys, so that a caller whose answer was lost and who sent its key again under pressure was told not_run although the first try had run: a false word, found by reading the merged path. Ruled out: letting the door say unknown for keyed calls (true, but callers could then not tell that a new request is safe to drop); exempting them from the door. Change: the door stands behind the owner of a key. The record answers what has run; what the door refuses is withdrawn from the records and may run later. Failing first: TestDoorStandsBehindTheRouterOfKeys. After: it passes, and TestResendOfARequestThatHasRunIsNotRefusedAtTheDoor shows one run, the stored answer, a true not_run for a new key, and that key running later.

--- a/internal/sdnode/admin.go
+++ b/internal/sdnode/admin.go
@@ -29,6 +29,9 @@
 	n.metrics.Gauge("target_limit", "Present concurrency limit of this VM's target.", func() float64 {
 		return float64(n.admitter.Signal().Limit)
 	})
+	n.metrics.Counter("links_silent_total", "Links given up because nothing was heard on them.", func() float64 {
+		return float64(n.links.Silent())
+	})
 	n.metrics.Gauge("keys_held", "Keys remembered by this node.", func() float64 {
 		return float64(n.owner.Held())
 	})
--- a/internal/sdnode/node.go
+++ b/internal/sdnode/node.go
@@ -151,8 +151,10 @@
 	}
 	tries := sdcarrier.NewTries(n.clock)
 	calls := &sdcarrier.Server{Carrier: n.server, Clock: n.clock, Tries: tries, Log: n.log.Named("call")}
-	n.wireKeyed(relay, tries)
-	n.door = n.newDoor(n.router)
+	// The owner of a key answers a resend of what has run; a door before it
+	// would refuse the resend as not run.
+	n.door = n.newDoor(relay)
+	n.wireKeyed(n.door, tries)
 	n.wirePoison()
 	n.wireUnknown()
 	n.links.Handle(sdlink.KindCall, n.stop.count(calls.Serve))
@@ -184,7 +186,7 @@
 		Log:          n.log.Named("entry"),
 		Policies:     n.Policies,
 		Chains:       n.chains,
-		Next:         n.door,
+		Next:         n.router,
 		NewRequestID: n.ids.next,
 		Observe:      n.metrics.Observe,
 		KeyPrefix:    n.owner.Prefix,
--- a/internal/sdnode/pressure.go
+++ b/internal/sdnode/pressure.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// newDoor puts the door before the path of a call.
+// newDoor puts the door before the choice of a target.
 func (n *Node) newDoor(next savorydeal.Carrier) *sdpressure.Carrier {
 	door := sdpressure.New(n.newRandom())
 	door.EqualRanks = n.settings.Overload.Off.Fairness
