Callers and targets of the measures take key prefixes, as callers are advised to

Cause: in the cut data centre 18 of 52 important requests were lost; their plain keys fall into parts whose owner is on the other side of the cut. Ruled out: placement (all refusals were key_owner_unknown). Change: the stand-in caller begins its keys with the prefix that the node's answers bring; a target derives the keys of its onward calls from the key of its request. Also: the cores that the path's measure keeps busy are spun by processes of their own, since spinning in the measuring process held up its own callers.

--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -16,6 +16,9 @@
 )
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == sdbenchpath.SpinCommand {
+		sdbenchpath.Spin()
+	}
 	os.Exit(sdcommand.RunBench(os.Args[1:], []sdcommand.Measure{
 		{Name: "demo", Help: "the whole path once, with its answers shown", Run: sddemo.Run},
 		{Name: "path", Help: "time that the path of nodes adds to a call", Run: sdbenchpath.Run},
--- a/internal/sdbenchoverload/load.go
+++ b/internal/sdbenchoverload/load.go
@@ -118,8 +118,10 @@
 		Caller:   fmt.Sprintf("caller-%d", one.caller),
 		Timeout:  tryTimeout,
 	}
-	if one.operation.method == "POST" {
-		request.Key = one.id
+	if one.operation.method == http.MethodPost {
+		// Callers take the prefix of their keys from the node's answers, as
+		// they are advised to; resends keep the key.
+		request.Key = entries[random.IntN(len(entries))].caller.OwnedKey(one.id)
 	}
 	for one.tries < callerTries {
 		one.tries++
--- a/internal/sdbenchpath/path.go
+++ b/internal/sdbenchpath/path.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"math"
 	"net/http"
+	"os"
+	"os/exec"
 	"runtime"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -58,7 +60,10 @@
 		return err
 	}
 	defer bed.close()
-	stopBusy := keepCoresBusy(busyCores)
+	stopBusy, err := keepCoresBusy(busyCores)
+	if err != nil {
+		return err
+	}
 	defer stopBusy()
 	duration := fullDuration
 	if options.Quick {
@@ -142,24 +147,43 @@
 	b.rig.Close()
 }
 
-// keepCoresBusy spins on threads of their own until the returned function is
-// called.
-func keepCoresBusy(cores int) func() {
-	var stop atomic.Bool
-	var wait sync.WaitGroup
+// keepCoresBusy starts processes that each spin on one core until the returned
+// function is called. Spinning within this process would take the scheduler
+// from the callers and targets that are measured.
+func keepCoresBusy(cores int) (func(), error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("find the program: %w", err)
+	}
+	var spinning []*exec.Cmd
+	stop := func() {
+		for _, command := range spinning {
+			_ = command.Process.Kill()
+			_ = command.Wait()
+		}
+	}
 	for range cores {
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			runtime.LockOSThread()
-			for !stop.Load() {
-				continue
-			}
-		}()
+		command := exec.Command(program, SpinCommand)
+		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := command.Start(); err != nil {
+			stop()
+			return nil, fmt.Errorf("keep a core busy: %w", err)
+		}
+		spinning = append(spinning, command)
 	}
-	return func() {
-		stop.Store(true)
-		wait.Wait()
+	return stop, nil
+}
+
+// SpinCommand is the word of the bench program that runs Spin.
+const SpinCommand = "spin"
+
+// Spin keeps one core busy until the process is killed.
+func Spin() {
+	runtime.GOMAXPROCS(1)
+	for spinning := uint64(0); ; spinning++ {
+		if spinning == math.MaxUint64 {
+			return
+		}
 	}
 }
 
--- a/internal/sdbenchtruth/bed.go
+++ b/internal/sdbenchtruth/bed.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal/internal/sdbench"
-	"github.com/savorydeal/savorydeal/internal/sdheader"
 	"github.com/savorydeal/savorydeal/internal/sdoperatorapi"
 	"github.com/savorydeal/savorydeal/internal/sdrig"
+	"github.com/savorydeal/savorydeal/internal/sdstandcaller"
 	"github.com/savorydeal/savorydeal/internal/sdstandtarget"
 )
 
@@ -131,16 +131,13 @@
 
 // prefix takes a key prefix from a node, "" if it cannot be had.
 func prefix(ctx context.Context, address string) string {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/.well-known/savorydeal/key_prefix", nil)
+	caller := sdstandcaller.New(address, 1)
+	defer caller.Close()
+	taken, err := caller.KeyPrefix(ctx)
 	if err != nil {
 		return ""
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return ""
-	}
-	_ = response.Body.Close()
-	return response.Header.Get(sdheader.KeyPrefix)
+	return taken
 }
 
 // answerOf is the whole answer to a request.
--- a/internal/sdentry/entry.go
+++ b/internal/sdentry/entry.go
@@ -85,9 +85,6 @@
 	})
 }
 
-// keyPrefixPath answers a GET with a key prefix and nothing else.
-const keyPrefixPath = "/.well-known/savorydeal/key_prefix"
-
 // offerKeyPrefix puts a key prefix into the header of every answer. It reports
 // whether that is all the caller asked for.
 func (e *Entry) offerKeyPrefix(w http.ResponseWriter, r *http.Request) bool {
@@ -98,7 +95,7 @@
 	if prefix != "" {
 		w.Header().Set(sdheader.KeyPrefix, prefix)
 	}
-	if r.Method != http.MethodGet || r.URL.Path != keyPrefixPath {
+	if r.Method != http.MethodGet || r.URL.Path != sdheader.KeyPrefixPath {
 		return false
 	}
 	if prefix == "" {
--- a/internal/sdheader/header.go
+++ b/internal/sdheader/header.go
@@ -24,6 +24,9 @@
 	KeyPrefix  = "Savorydeal-Key-Prefix"
 	RetryAfter = "Retry-After"
 
+	// KeyPrefixPath answers a GET with a key prefix and nothing else.
+	KeyPrefixPath = "/.well-known/savorydeal/key_prefix"
+
 	prefix = "Savorydeal-"
 )
 
--- a/internal/sdstandcaller/caller.go
+++ b/internal/sdstandcaller/caller.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/savorydeal/savorydeal"
@@ -49,6 +50,9 @@
 type Caller struct {
 	address string
 	client  *http.Client
+	// prefix begins keys that the node decides on; nil before its first
+	// answer.
+	prefix atomic.Pointer[string]
 }
 
 // New returns a caller of the node at the address.
@@ -84,6 +88,7 @@
 		return Result{Err: fmt.Errorf("send request: %w", err)}
 	}
 	defer response.Body.Close()
+	c.keepPrefix(response.Header)
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return Result{Err: fmt.Errorf("read answer: %w", err), Status: response.StatusCode}
--- a/internal/sdstandtarget/target.go
+++ b/internal/sdstandtarget/target.go
@@ -226,6 +226,17 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s\n", t.options.Service, r.Method, r.Header.Get(HeaderLedgerID))
 }
 
+// onwardKey derives the key of an onward call from that of the request, so that
+// a repeat of the request repeats the key, and the process that decides on the
+// one decides on the other.
+func onwardKey(r *http.Request, onward Onward) string {
+	key := r.Header.Get(sdheader.Key)
+	if key == "" {
+		key = r.Header.Get(HeaderLedgerID)
+	}
+	return key + "-" + onward.Service
+}
+
 func (t *Target) callOnward(ctx context.Context, r *http.Request, onward Onward) error {
 	request, err := http.NewRequestWithContext(ctx, onward.Method, "http://"+t.options.OnwardAddress+onward.Path, nil)
 	if err != nil {
@@ -236,7 +247,7 @@
 	request.Header.Set(sdheader.DeadlineMS, r.Header.Get(sdheader.DeadlineMS))
 	request.Header.Set(HeaderLedgerID, r.Header.Get(HeaderLedgerID))
 	if onward.Method != http.MethodGet {
-		request.Header.Set(sdheader.Key, r.Header.Get(HeaderLedgerID)+"-"+onward.Service)
+		request.Header.Set(sdheader.Key, onwardKey(r, onward))
 	}
 	response, err := t.client.Do(request)
 	if err != nil {
