Rigs of two processes no longer meet at one address

Cause: a block of addresses followed from the process id alone; two test processes with following ids and more than seven rigs met in one block, and TestPoisonCrashesTwoTargetsAtMost failed with 'address already in use'. Ruled out: retrying the bind of the same address. Change: a rig claims a block by listening on its platform's address and takes another if it is held.

--- a/internal/sdrig/rig.go
+++ b/internal/sdrig/rig.go
@@ -41,8 +41,7 @@
 	readyPoll   = 20 * time.Millisecond
 )
 
-// nextBlock keeps rigs of one process apart; processes are kept apart by their
-// process ids.
+// nextBlock keeps rigs of one process apart.
 var nextBlock atomic.Int32
 
 // Rig is one set of processes on loopback.
@@ -61,28 +60,46 @@
 
 // New starts a stand-in platform.
 func New(log hclog.Logger) (*Rig, error) {
-	block := int(nextBlock.Add(1))
-	slot := os.Getpid()*7 + block
-	rig := &Rig{
-		Platform: sdstandplatform.NewStore(),
-		log:      log,
-		base:     [2]byte{byte(16 + slot/250%200), byte(1 + slot%250)},
-	}
+	rig := &Rig{Platform: sdstandplatform.NewStore(), log: log}
 	handler, err := sdstandplatform.NewServer(rig.Platform)
 	if err != nil {
 		return nil, fmt.Errorf("stand-in platform: %w", err)
 	}
-	address := fmt.Sprintf("%s:%d", rig.address(0), portPlatform)
-	listener, err := net.Listen("tcp", address)
+	listener, err := rig.claimBlock()
 	if err != nil {
 		return nil, fmt.Errorf("stand-in platform: %w", err)
 	}
 	rig.platformServer = &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	go func() { _ = rig.platformServer.Serve(listener) }()
-	rig.PlatformURL = "http://" + address
+	rig.PlatformURL = "http://" + listener.Addr().String()
 	return rig, nil
 }
 
+const (
+	firstBlock   = 16
+	blockRows    = 200
+	blockColumns = 120
+	blocks       = blockRows * blockColumns
+	// pidStride spreads the first choices of processes with following ids.
+	pidStride = 97
+)
+
+// claimBlock takes a block of addresses that no other rig holds, in this
+// process or another: whoever listens on the platform's address of a block
+// holds it.
+func (r *Rig) claimBlock() (net.Listener, error) {
+	for range blocks {
+		slot := (os.Getpid()*pidStride + int(nextBlock.Add(1))) % blocks
+		r.base = [2]byte{byte(firstBlock + slot/blockColumns), byte(1 + 2*(slot%blockColumns))}
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", r.address(0), portPlatform))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		return listener, err
+	}
+	return nil, errors.New("every block of addresses is taken")
+}
+
 // vmsPerBlock keeps the last part of an address below its bound; larger rigs
 // go on in the next block.
 const vmsPerBlock = 250
