--- a/cmd/savorydeal-node/main.go
+++ b/cmd/savorydeal-node/main.go
@@ -1,4 +1,5 @@
-// Command savorydeal-node runs one node.
+// Command savorydeal-node runs one node. With the argument "sidecar" it runs
+// the node of the users' platform.
 package main
 
 import (
@@ -8,5 +9,9 @@
 )
 
 func main() {
-	os.Exit(sdcommand.RunNode(os.Args[1:], os.LookupEnv, os.Stderr))
+	arguments := os.Args[1:]
+	if len(arguments) == 1 && arguments[0] == "sidecar" {
+		os.Exit(sdcommand.RunSidecar(os.LookupEnv, os.Stdout, os.Stderr))
+	}
+	os.Exit(sdcommand.RunNode(arguments, os.LookupEnv, os.Stderr))
 }
--- /dev/null
+++ b/internal/sdinstance/tracker.go
@@ -0,0 +1,151 @@
+// Package sdinstance keeps the state of the target on this VM from its
+// announcements and from what connections to it show. It does no I/O.
+package sdinstance
+
+import (
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+)
+
+// Verdict is the answer to an announcement.
+type Verdict string
+
+// Verdicts.
+const (
+	// VerdictTaken means that the announcement is the newest of this target.
+	VerdictTaken Verdict = "taken"
+	// VerdictOld means that it is late: a newer one was taken before.
+	VerdictOld Verdict = "old"
+	// VerdictForeign means that it is of a target that is not on this VM.
+	VerdictForeign Verdict = "foreign"
+)
+
+// State is what is known of the target.
+type State struct {
+	Target savorydeal.TargetState
+	Beat   savorydeal.Beat
+	// Since is when the target became ready.
+	Since time.Time
+	// LeftAt is when its leaving was acknowledged.
+	LeftAt time.Time
+}
+
+// Tracker is the state of one VM's target. One goroutine owns it.
+type Tracker struct {
+	service string
+	address string
+	state   State
+	// known is false until the first announcement.
+	known bool
+	// probed is set while the identity comes from the target's health answer.
+	probed bool
+}
+
+// New returns a tracker of the service's target at the address.
+func New(service, address string) *Tracker {
+	return &Tracker{service: service, address: address, state: State{Target: savorydeal.TargetAbsent}}
+}
+
+// State returns what is known.
+func (t *Tracker) State() State {
+	return t.state
+}
+
+// Announce takes an announcement.
+func (t *Tracker) Announce(now time.Time, beat savorydeal.Beat) Verdict {
+	if beat.Service != t.service || beat.Address != t.address {
+		return VerdictForeign
+	}
+	last := t.state.Beat
+	if t.known && !newer(beat, last) {
+		return VerdictOld
+	}
+	sameStart := t.known && beat.Started == last.Started && beat.Identity == last.Identity
+	t.known = true
+	t.probed = false
+	t.state.Beat = beat
+	switch {
+	case sameStart && !t.state.LeftAt.IsZero():
+		// A target that has said that it leaves does not come back without a
+		// new start.
+	case beat.Leaving:
+		t.state.Target = savorydeal.TargetLeaving
+		t.state.LeftAt = now
+	default:
+		if !sameStart || t.state.Target != savorydeal.TargetReady {
+			t.state.Since = now
+		}
+		t.state.LeftAt = time.Time{}
+		t.state.Target = savorydeal.TargetReady
+	}
+	return VerdictTaken
+}
+
+// newer orders announcements by the target's start, then by their sequence.
+func newer(a, b savorydeal.Beat) bool {
+	if a.Started != b.Started {
+		return a.Started > b.Started
+	}
+	if a.Identity != b.Identity {
+		return true
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Leave takes a target's last call. started is 0 if the target did not tell it.
+func (t *Tracker) Leave(now time.Time, identity string, started int64) Verdict {
+	if !t.known || identity != t.state.Beat.Identity {
+		return VerdictForeign
+	}
+	if started != 0 && started != t.state.Beat.Started {
+		return VerdictOld
+	}
+	t.state.Target = savorydeal.TargetLeaving
+	if t.state.LeftAt.IsZero() {
+		t.state.LeftAt = now
+	}
+	return VerdictTaken
+}
+
+// Found takes the identity that the target itself told before it has announced
+// itself to this process. slots is a guess until then.
+func (t *Tracker) Found(now time.Time, identity string, slots int) bool {
+	if t.known || identity == "" {
+		return false
+	}
+	t.probed = true
+	t.state = State{Target: savorydeal.TargetReady, Since: now, Beat: savorydeal.Beat{
+		Identity: identity, Service: t.service, Address: t.address, Slots: slots,
+	}}
+	return true
+}
+
+// Lost notes that the target's address takes no connection.
+func (t *Tracker) Lost() bool {
+	if t.state.Target != savorydeal.TargetReady {
+		return false
+	}
+	t.state.Target = savorydeal.TargetSilent
+	return true
+}
+
+// Back notes that the target's address takes connections again.
+func (t *Tracker) Back(now time.Time) bool {
+	if t.state.Target != savorydeal.TargetSilent {
+		return false
+	}
+	t.state.Target = savorydeal.TargetReady
+	t.state.Since = now
+	return true
+}
+
+// Misdirected notes that another target answers at the address: nothing is
+// known until it announces itself.
+func (t *Tracker) Misdirected(identity string) bool {
+	if identity == t.state.Beat.Identity || t.state.Target == savorydeal.TargetAbsent {
+		return false
+	}
+	t.state.Target = savorydeal.TargetAbsent
+	return true
+}
--- /dev/null
+++ b/internal/sdsidecar/announce.go
@@ -0,0 +1,122 @@
+package sdsidecar
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdhttp"
+	"github.com/savorydeal/savorydeal/internal/sdinstance"
+	"github.com/savorydeal/savorydeal/platform"
+)
+
+const (
+	// targetPoll is the time between two looks at a target that is not there.
+	targetPoll = 100 * time.Millisecond
+	// healthTimeout bounds one health check.
+	healthTimeout = 500 * time.Millisecond
+	// guessedSlots is taken until a target has told its slots.
+	guessedSlots = 32
+)
+
+// smallServer serves the calls of the platform and of this VM's target.
+func (n *Node) smallServer(handler sdhttp.Handler) *sdhttp.Server {
+	return &sdhttp.Server{Handler: handler, Limits: peerLimits}
+}
+
+func (n *Node) handleReady(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
+	if request.Target != platform.ReadinessPath {
+		return &sdhttp.Response{Status: http.StatusNotFound}
+	}
+	if n.stopping.Load() || n.routes.Load() == nil {
+		return &sdhttp.Response{Status: http.StatusServiceUnavailable}
+	}
+	return &sdhttp.Response{Status: http.StatusOK}
+}
+
+// handleAnnounce takes the announcements of this VM's target. The gate is set
+// before the target has its answer.
+func (n *Node) handleAnnounce(ctx context.Context, request *sdhttp.Request) *sdhttp.Response {
+	identity, ok := strings.CutPrefix(request.Target, platform.BeatPrefix)
+	identity, _, _ = strings.Cut(identity, "?")
+	if !ok || identity == "" {
+		return &sdhttp.Response{Status: http.StatusNotFound}
+	}
+	var event controlEvent
+	verdict := sdinstance.VerdictForeign
+	switch request.Method {
+	case http.MethodPut:
+		beat, err := platform.DecodeBeat(identity, request.Body)
+		if err != nil {
+			n.log.Warn("announcement refused", "identity", identity, "error", err)
+			return &sdhttp.Response{Status: http.StatusBadRequest}
+		}
+		event = func(c *control) { verdict = c.tracker.Announce(n.clock.Now(), beat) }
+	case http.MethodDelete:
+		started, err := platform.DecodeLeave(request.Body)
+		if err != nil {
+			n.log.Warn("leave refused", "identity", identity, "error", err)
+			return &sdhttp.Response{Status: http.StatusBadRequest}
+		}
+		event = func(c *control) { verdict = c.tracker.Leave(n.clock.Now(), identity, started) }
+	default:
+		return &sdhttp.Response{Status: http.StatusMethodNotAllowed}
+	}
+	err := n.do(ctx, func(c *control) {
+		event(c)
+		n.publishTarget(c)
+	})
+	if err != nil {
+		return &sdhttp.Response{Status: http.StatusServiceUnavailable}
+	}
+	if verdict != sdinstance.VerdictTaken {
+		n.log.Info("announcement not taken", "identity", identity, "verdict", verdict, "method", request.Method)
+	}
+	header := http.Header{"Content-Type": {"application/json"}}
+	return &sdhttp.Response{Status: http.StatusOK, Header: header, Body: []byte(platform.BeatAnswer)}
+}
+
+// runTarget looks for a target that is not known or not reachable: after its
+// own start a node would else wait for the next announcement.
+func (n *Node) runTarget(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.sleep(ctx, targetPoll)
+		table := n.routes.Load()
+		if table == nil {
+			continue
+		}
+		var state sdinstance.State
+		if n.do(ctx, func(c *control) { state = c.tracker.State() }) != nil {
+			continue
+		}
+		missing := state.Target == savorydeal.TargetAbsent && state.Beat.Identity == "" || state.Target == savorydeal.TargetSilent
+		service, ok := table.Service(n.settings.Service)
+		if !missing || !ok {
+			continue
+		}
+		n.probeTarget(ctx, service.HealthPath, state)
+	}
+	return nil
+}
+
+func (n *Node) probeTarget(ctx context.Context, path string, state sdinstance.State) {
+	request := &sdhttp.Request{Method: http.MethodGet, Host: n.settings.TargetAddress, Target: path, Header: http.Header{}}
+	answer, err := n.target.pool.Do(ctx, request, time.Now().Add(healthTimeout), true, anyAnswer)
+	if err != nil {
+		return
+	}
+	identity := answer.Header.Get(n.edge.Identity)
+	_ = n.do(ctx, func(c *control) {
+		now := n.clock.Now()
+		switch {
+		case answer.Status != http.StatusOK:
+		case identity == state.Beat.Identity && c.tracker.Back(now):
+			n.log.Info("target is back", "identity", identity)
+		case c.tracker.Found(now, identity, guessedSlots):
+			n.log.Info("target found by its health check", "identity", identity)
+		}
+		n.publishTarget(c)
+	})
+}
