What follows a try is decided in sdattempt; a request that may have run is not refused

Cause: a target's own 500 was repeated whatever the route's kind, and a request whose earlier try was unknown ended with 503.

--- /dev/null
+++ b/internal/sdattempt/attempt.go
@@ -0,0 +1,95 @@
+// Package sdattempt decides what follows a try of one request: its answer, one
+// more target, or a final answer of the node's own, which says that the request
+// has not run only where that is certain. It does no I/O.
+package sdattempt
+
+// Result is how a try ended.
+type Result string
+
+// Results of tries.
+const (
+	// ResultAnswered is an answer of the target that is no failure.
+	ResultAnswered Result = "answered"
+	// ResultFailed is a failure that the target itself answered: it has run.
+	ResultFailed Result = "failed"
+	// ResultRejected means that the target was reached and has not run it.
+	ResultRejected Result = "rejected"
+	// ResultTurnedAway means that the call did not come to the target.
+	ResultTurnedAway Result = "turned_away"
+	// ResultUnknown means that it may have run.
+	ResultUnknown Result = "unknown"
+)
+
+// Step is what follows.
+type Step string
+
+// Steps.
+const (
+	// StepPass passes the target's answer on.
+	StepPass Step = "pass"
+	// StepAgain tries one more target.
+	StepAgain Step = "again"
+	// StepRefuse answers that the request has not run.
+	StepRefuse Step = "refuse"
+	// StepFail answers that the request may have run.
+	StepFail Step = "fail"
+)
+
+// maxRedirects bounds the targets' nodes that are asked after one has turned
+// the call away: each costs time and says that the service is short of room.
+const maxRedirects = 3
+
+// Attempts are the tries of one request. It is used by one goroutine.
+type Attempts struct {
+	repeatable bool
+	maxTargets int
+	reached    int
+	redirects  int
+	mayHaveRun bool
+}
+
+// New returns the tries of a request that may be sent to maxTargets targets.
+func New(repeatable bool, maxTargets int) *Attempts {
+	return &Attempts{repeatable: repeatable, maxTargets: maxTargets}
+}
+
+// Repeats is the number of targets reached beyond the first.
+func (a *Attempts) Repeats() int {
+	return max(0, a.reached-1)
+}
+
+// Next decides what follows a try. spend takes one more target from the shared
+// budget; it is asked only if all else allows a further try. last is true if
+// no time or no caller is left.
+func (a *Attempts) Next(result Result, last bool, spend func() bool) Step {
+	switch result {
+	case ResultAnswered:
+		return StepPass
+	case ResultTurnedAway:
+		a.redirects++
+		if last || a.redirects > maxRedirects {
+			return a.GiveUp()
+		}
+		return StepAgain
+	case ResultFailed, ResultUnknown:
+		a.mayHaveRun = true
+	case ResultRejected:
+	}
+	a.reached++
+	again := !last && (a.repeatable || !a.mayHaveRun) && a.reached < a.maxTargets && spend()
+	switch {
+	case again:
+		return StepAgain
+	case result == ResultFailed:
+		return StepPass
+	}
+	return a.GiveUp()
+}
+
+// GiveUp is the end of a request for which there is no target left.
+func (a *Attempts) GiveUp() Step {
+	if a.mayHaveRun {
+		return StepFail
+	}
+	return StepRefuse
+}
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -7,15 +7,13 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdattempt"
 	"github.com/savorydeal/savorydeal/internal/sdbalance"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
 	"github.com/savorydeal/savorydeal/internal/sdinner"
 )
 
 const (
-	// maxRedirects bounds the targets that are asked after one has refused
-	// without having been reached.
-	maxRedirects = 3
 	// patienceShare is the part of the time left that a call may wait for its
 	// turn.
 	patienceShare = 0.5
@@ -25,71 +23,67 @@
 
 // carry tries targets until one has answered or no further try is allowed.
 func (n *Node) carry(ctx context.Context, r *request) *sdhttp.Response {
+	attempts := sdattempt.New(r.route.Kind.Repeatable(), r.route.MaxTargets)
 	var tried []savorydeal.NodeID
-	reached, redirects := 0, 0
+	reason := reasonDeadline
 	for {
 		left := time.Until(r.deadline)
-		if left <= 0 {
-			return n.giveUp(r, reached, reasonDeadline)
-		}
 		n.mu.Lock()
 		member, ok := n.balancer.Choose(n.clock.Now(), r.service, r.route.Name, tried)
 		n.mu.Unlock()
-		if !ok {
-			return n.giveUp(r, reached, reasonNoTarget)
+		if left <= 0 || !ok {
+			if !ok && len(tried) == 0 {
+				reason = reasonNoTarget
+			}
+			return n.giveUp(ctx, r, attempts.GiveUp(), reason)
 		}
 		response, reply := n.try(ctx, r, member, left)
 		n.observe(ctx, r, member, response, reply)
 		tried = append(tried, member.Node)
-		if reply.Reached {
-			reached++
-		}
-		if reply.Verdict == sdinner.VerdictRan && !(response.Status >= http.StatusInternalServerError && n.mayRepeat(ctx, r, reached)) {
+		reason = reply.Reason
+		last := ctx.Err() != nil || time.Until(r.deadline) < leastTry
+		switch step := attempts.Next(resultOf(response, reply), last, func() bool { return n.spend(r) }); step {
+		case sdattempt.StepPass:
 			return response
-		}
-		if response != nil && reply.Verdict == sdinner.VerdictRan {
-			closeRest(response)
-		}
-		switch {
-		case ctx.Err() != nil:
-			return n.fail(r, http.StatusBadGateway, reasonCanceled)
-		case reply.Verdict == sdinner.VerdictNotRun && !reply.Reached:
-			redirects++
-			if redirects > maxRedirects {
-				return n.giveUp(r, reached, reply.Reason)
-			}
-		case reply.Verdict == sdinner.VerdictRan:
-		case reply.Verdict == sdinner.VerdictNotRun:
-			if !n.mayRepeat(ctx, r, reached) {
-				return n.giveUp(r, reached, reply.Reason)
+		case sdattempt.StepAgain:
+			if response != nil {
+				closeRest(response)
 			}
+			n.log.Request("try repeated", "request", r.id, "route", r.route.Name, "peer", member.PeerAddress,
+				"verdict", reply.Verdict, "reason", reason, "left", time.Until(r.deadline))
 		default:
-			if !r.route.Kind.Repeatable() || !n.mayRepeat(ctx, r, reached) {
-				return n.giveUpUnknown(r, reply.Reason)
-			}
+			return n.giveUp(ctx, r, step, reason)
 		}
 	}
 }
 
-// giveUp ends a request of which no try has run as far as it is known here.
-func (n *Node) giveUp(r *request, reached int, reason string) *sdhttp.Response {
-	_ = reached
-	return n.refuse(r, reason)
+func resultOf(response *sdhttp.Response, reply sdinner.Reply) sdattempt.Result {
+	switch {
+	case reply.Verdict == sdinner.VerdictRan && response.Status < http.StatusInternalServerError:
+		return sdattempt.ResultAnswered
+	case reply.Verdict == sdinner.VerdictRan:
+		return sdattempt.ResultFailed
+	case reply.Verdict == sdinner.VerdictNotRun && reply.Reached:
+		return sdattempt.ResultRejected
+	case reply.Verdict == sdinner.VerdictNotRun:
+		return sdattempt.ResultTurnedAway
+	}
+	return sdattempt.ResultUnknown
 }
 
-// giveUpUnknown ends a request that may have run.
-func (n *Node) giveUpUnknown(r *request, reason string) *sdhttp.Response {
-	if reason == reasonDeadline {
+// giveUp ends a request that has no answer of a target.
+func (n *Node) giveUp(ctx context.Context, r *request, step sdattempt.Step, reason string) *sdhttp.Response {
+	switch {
+	case step == sdattempt.StepRefuse:
+		return n.refuse(r, reason)
+	case ctx.Err() == nil && time.Until(r.deadline) <= leastTry:
 		return n.fail(r, http.StatusGatewayTimeout, reason)
 	}
 	return n.fail(r, http.StatusBadGateway, reason)
 }
 
-// mayRepeat takes one more target from the budgets.
-func (n *Node) mayRepeat(ctx context.Context, r *request, reached int) bool {
-	if ctx.Err() != nil || reached >= r.route.MaxTargets || time.Until(r.deadline) < leastTry {
-		return false
-	}
+// spend takes one more target from the shared budget.
+func (n *Node) spend(r *request) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.budget.Spend(n.clock.Now(), map[string]float64{r.service: 1})
