--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -38,6 +38,9 @@
 	// readyAgain is the difference from which a target has become ready anew;
 	// the word's age on its way makes smaller ones.
 	readyAgain = time.Second
+	// serviceLoadAge is the age from which a target's word on its load no
+	// longer counts for its service.
+	serviceLoadAge = time.Second
 	// kneePower makes a target seem slower as it fills up.
 	kneePower = 3
 	// firstMean is the mean time of a route before its first answer.
@@ -284,3 +287,19 @@
 	t.speed += speedWeight * (ratio - t.speed)
 	b.means[o.Route] = mean + time.Duration(routeWeight*float64(o.Ran-mean))
 }
+
+// Load is the load of a service as its targets told it lately, as a share of
+// their places.
+func (b *Balancer) Load(now time.Time, service string) (float64, bool) {
+	busy, places := 0, 0
+	for _, t := range b.services[service] {
+		if t.told.Limit > 0 && now.Sub(t.toldAt) < serviceLoadAge {
+			busy += t.told.Running + t.told.Queued
+			places += t.told.Limit
+		}
+	}
+	if places == 0 {
+		return 0, false
+	}
+	return float64(busy) / float64(places), true
+}
--- a/internal/sdinner/inner.go
+++ b/internal/sdinner/inner.go
@@ -3,7 +3,11 @@
 package sdinner
 
 import (
+	"errors"
 	"fmt"
+	"maps"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,7 +39,7 @@
 
 const (
 	callFields  = 8
-	replyFields = 7
+	replyFields = 9
 	separator   = ";"
 )
 
@@ -93,6 +97,12 @@
 	Load    Load
 	// Ran is the time on the target.
 	Ran time.Duration
+	// Below is the number of calls that the run made, by service, with the
+	// calls below them.
+	Below map[string]float64
+	// Loads are the loads of services as the target's node knows them, as
+	// shares of their places.
+	Loads map[string]float64
 }
 
 // Load is the state of a target and its queue.
@@ -106,7 +116,7 @@
 func (r Reply) Encode() string {
 	return strings.Join([]string{
 		string(r.Verdict), r.Reason, strconv.FormatBool(r.Reached), strconv.Itoa(r.Load.Running), strconv.Itoa(r.Load.Queued),
-		strconv.Itoa(r.Load.Limit), strconv.FormatInt(r.Ran.Microseconds(), 10),
+		strconv.Itoa(r.Load.Limit), strconv.FormatInt(r.Ran.Microseconds(), 10), encodeFigures(r.Below), encodeFigures(r.Loads),
 	}, separator)
 }
 
@@ -128,9 +138,49 @@
 	if err != nil {
 		return Reply{}, fmt.Errorf("reply %q: %w", text, err)
 	}
+	below, err1 := decodeFigures(parts[7])
+	loads, err2 := decodeFigures(parts[8])
+	if err := errors.Join(err1, err2); err != nil {
+		return Reply{}, fmt.Errorf("reply %q: %w", text, err)
+	}
 	return Reply{
 		Verdict: Verdict(parts[0]), Reason: parts[1], Reached: reached,
 		Load: Load{Running: int(numbers[0]), Queued: int(numbers[1]), Limit: int(numbers[2])},
-		Ran:  time.Duration(numbers[3]) * time.Microsecond,
+		Ran:  time.Duration(numbers[3]) * time.Microsecond, Below: below, Loads: loads,
 	}, nil
 }
+
+const (
+	figureSeparator = ","
+	figureEquals    = "="
+	figureDigits    = 2
+	floatBits       = 64
+)
+
+// encodeFigures writes figures by name, sorted.
+func encodeFigures(figures map[string]float64) string {
+	if len(figures) == 0 {
+		return ""
+	}
+	parts := make([]string, 0, len(figures))
+	for _, name := range slices.Sorted(maps.Keys(figures)) {
+		parts = append(parts, name+figureEquals+strconv.FormatFloat(figures[name], 'f', figureDigits, floatBits))
+	}
+	return strings.Join(parts, figureSeparator)
+}
+
+func decodeFigures(text string) (map[string]float64, error) {
+	if text == "" {
+		return nil, nil
+	}
+	figures := make(map[string]float64)
+	for part := range strings.SplitSeq(text, figureSeparator) {
+		name, value, ok := strings.Cut(part, figureEquals)
+		figure, err := strconv.ParseFloat(value, floatBits)
+		if !ok || err != nil || math.IsNaN(figure) || figure < 0 {
+			return nil, fmt.Errorf("figure %q is not a name and a number from 0", part)
+		}
+		figures[name] = figure
+	}
+	return figures, nil
+}
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -29,6 +29,9 @@
 	// fetching is the version that is being fetched from another node.
 	fetching uint64
 	members  []savorydeal.Member
+	// confirmedAt is when a node, as far as this one knows, last read the store
+	// and found nothing newer than the configuration in force here.
+	confirmedAt time.Time
 }
 
 type controlEvent func(c *control)
@@ -99,12 +102,17 @@
 		n.send(c, c.roster.Receive(n.clock.Now(), from, *datagram.Membership))
 		n.publishMembers(c)
 	}
+	mark := decodeMark(datagram.ConfigDigest)
 	switch {
-	case datagram.ConfigDigest > c.config.Version && datagram.ConfigDigest > c.fetching:
-		c.fetching = datagram.ConfigDigest
+	case mark.version > c.config.Version && mark.version > c.fetching:
+		c.fetching = mark.version
 		go n.fetchConfig(ctx, from)
-	case datagram.ConfigDigest < c.config.Version:
+	case mark.version < c.config.Version:
 		n.tellVersion(c, from)
+	case mark.version == c.config.Version:
+		if at := n.clock.Now().Add(-mark.age); at.After(c.confirmedAt) {
+			c.confirmedAt = at
+		}
 	}
 }
 
@@ -116,8 +124,10 @@
 // send sends datagrams; each carries the version of the configuration.
 func (n *Node) send(c *control, packets []sdroster.Packet) {
 	for _, packet := range packets {
-		datagram := sdgossip.Datagram{ConfigDigest: c.config.Version, Membership: &packet.Message}
-		if err := n.socket.Send(packet.To, datagram, n.clock.Now()); err != nil {
+		now := n.clock.Now()
+		mark := configMark{version: c.config.Version, age: now.Sub(c.confirmedAt)}
+		datagram := sdgossip.Datagram{ConfigDigest: mark.encode(), Membership: &packet.Message}
+		if err := n.socket.Send(packet.To, datagram, now); err != nil {
 			n.log.Debug("datagram not sent", "peer", packet.To, "error", err)
 		}
 	}
@@ -142,7 +152,7 @@
 	n.budget.SetNodes(live)
 	n.mu.Unlock()
 	n.metrics.members.Set(float64(live))
-	n.isWatcher.Store(watches(members, n.member()))
+	n.watchRank.Store(int64(watchRank(members, n.member())))
 }
 
 func isLive(member savorydeal.Member) bool {
@@ -176,6 +186,7 @@
 	}
 	c.config, c.raw = config, raw
 	n.routes.Store(sdroute.NewTable(config))
+	n.setPriorities(config)
 	n.metrics.configVersion.Set(float64(config.Version))
 	n.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "source", source)
 	for _, address := range c.roster.Pick(configFanOut) {
--- a/internal/sdsidecar/entry.go
+++ b/internal/sdsidecar/entry.go
@@ -35,6 +35,10 @@
 	rank     int
 	depth    int
 	deadline time.Time
+	// parent is the run that made this call; nil for a caller's request.
+	parent *runInfo
+	// tries is the number of targets that were reached.
+	tries int
 }
 
 // handleCaller answers callers and the calls of this VM's target.
@@ -59,17 +63,17 @@
 	}
 	r.deadline = received.Received.Add(timeout)
 	if parent, ok := n.runs.parent(id); ok {
+		r.parent = parent
 		r.rank = parent.rank
 		r.depth = parent.depth + 1
 		if parent.deadline.Before(r.deadline) {
 			r.deadline = parent.deadline
 		}
-	} else {
-		n.mu.Lock()
-		n.budget.Request(n.clock.Now(), r.service)
-		n.mu.Unlock()
 	}
-	response := n.carry(ctx, r)
+	response := n.refusedAtDoor(r)
+	if response == nil {
+		response = n.carry(ctx, r)
+	}
 	n.metrics.observe(r, response.Status, time.Since(received.Received))
 	return response
 }
--- a/internal/sdsidecar/join.go
+++ b/internal/sdsidecar/join.go
@@ -25,9 +25,16 @@
 	// meetingPointsPerDataCentre bounds those objects whatever the fleet's size.
 	meetingPointsPerDataCentre = 4
 	// watchersPerDataCentre bounds the nodes that watch the store.
-	watchersPerDataCentre = 8
-	// watchWait is the longest wait of one watch.
-	watchWait = 20 * time.Second
+	watchersPerDataCentre = 2
+	// watchWait is the longest wait of one watch. A store that forgets its
+	// history may leave a watch waiting that has missed a change, so that the
+	// wait has to stay below the time in which a configuration is in force.
+	watchWait = 1500 * time.Millisecond
+	// confirmedFor is how long the word of a watcher counts, on its way
+	// through gossip included.
+	confirmedFor = 2500 * time.Millisecond
+	// stepInEvery spreads the nodes that step in for watchers.
+	stepInEvery = 300 * time.Millisecond
 	// joinEvery is the time between two tries to find other nodes.
 	joinEvery = 400 * time.Millisecond
 	// rejoinEvery is the time between two exchanges of whole views.
@@ -41,9 +48,10 @@
 	dutyPoll   = 300 * time.Millisecond
 )
 
-// watches reports whether a member is among the watchers of its data centre.
-// A hash spreads the duty; the fleet's size does not change the store's load.
-func watches(members []savorydeal.Member, self savorydeal.Member) bool {
+// watchRank is the place of a member among those of its data centre that may
+// watch the store. A hash spreads the duty; the fleet's size does not change
+// the store's load.
+func watchRank(members []savorydeal.Member, self savorydeal.Member) int {
 	own := xxhash.Sum64String(string(self.Node))
 	before := 0
 	for _, member := range members {
@@ -52,7 +60,7 @@
 			before++
 		}
 	}
-	return before < watchersPerDataCentre
+	return before
 }
 
 // backoff spreads repeats of failed calls.
@@ -74,13 +82,14 @@
 }
 
 // runWatch keeps the configuration up to date from the store while this node
-// is a watcher, or has no configuration at all.
+// is a watcher. Another node reads the store itself if it has not heard for long
+// that a watcher has: the watchers may be those that the store turns away.
 func (n *Node) runWatch(ctx context.Context) error {
 	wait := backoff{node: n}
 	var revision int64
 	reachable := true
 	for ctx.Err() == nil {
-		if !n.isWatcher.Load() && n.routes.Load() != nil {
+		if !n.mayWatch(ctx) {
 			revision = 0
 			n.sleep(ctx, dutyPoll)
 			continue
@@ -91,19 +100,31 @@
 			reachable = err == nil
 			n.log.Info("store", "reachable", reachable, "error", err, "revision", revision)
 		}
-		if err != nil {
-			if errors.Is(err, platform.ErrHistoryGone) {
-				revision = 0
-			}
+		switch {
+		case errors.Is(err, platform.ErrHistoryGone):
+			revision = 0
+		case err != nil:
 			n.sleep(ctx, wait.next())
-			continue
+		default:
+			wait.last = 0
+			revision = next
 		}
-		wait.last = 0
-		revision = next
 	}
 	return nil
 }
 
+// mayWatch reports whether this node is to call the store now.
+func (n *Node) mayWatch(ctx context.Context) bool {
+	rank := n.watchRank.Load()
+	if rank < watchersPerDataCentre || n.routes.Load() == nil {
+		return true
+	}
+	patience := confirmedFor + time.Duration(rank-watchersPerDataCentre)*stepInEvery
+	lapsed := false
+	_ = n.do(ctx, func(c *control) { lapsed = n.clock.Now().Sub(c.confirmedAt) > patience })
+	return lapsed
+}
+
 // watchOnce reads the configuration, or waits for its next change.
 func (n *Node) watchOnce(ctx context.Context, revision int64) (int64, error) {
 	var list savorydeal.ObjectList
@@ -116,11 +137,14 @@
 	if err != nil {
 		return revision, err
 	}
-	for _, object := range list.Objects {
-		if object.Name == platform.ConfigName && !object.Deleted {
-			_ = n.do(ctx, func(c *control) { n.applyConfig(c, object.Value, "store") })
+	_ = n.do(ctx, func(c *control) {
+		for _, object := range list.Objects {
+			if object.Name == platform.ConfigName && !object.Deleted {
+				n.applyConfig(c, object.Value, "store")
+			}
 		}
-	}
+		c.confirmedAt = n.clock.Now()
+	})
 	// A lagging answer must not make the next watch begin earlier.
 	return max(revision, list.Revision), nil
 }
@@ -129,12 +153,13 @@
 // whole views.
 func (n *Node) runJoin(ctx context.Context) error {
 	wait := backoff{node: n}
-	written := false
+	written, reachable := false, true
 	for ctx.Err() == nil {
 		objects, err := n.store.List(ctx, kindMeetingPoint)
 		n.metrics.storeCall(err)
-		if err != nil {
-			n.log.Info("no meeting points from the store", "error", err)
+		if (err == nil) != reachable && ctx.Err() == nil {
+			reachable = err == nil
+			n.log.Info("meeting points", "read", reachable, "error", err)
 		}
 		points := n.meetingPoints(objects.Objects)
 		_ = n.do(ctx, func(c *control) { c.roster.SetMeetingPoints(points) })
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -21,7 +21,9 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbalance"
 	"github.com/savorydeal/savorydeal/internal/sdbudget"
+	"github.com/savorydeal/savorydeal/internal/sddoor"
 	"github.com/savorydeal/savorydeal/internal/sdgossip"
+	"github.com/savorydeal/savorydeal/internal/sdgraph"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
 	"github.com/savorydeal/savorydeal/internal/sdroute"
 	"github.com/savorydeal/savorydeal/platform"
@@ -41,13 +43,16 @@
 	control control
 	socket  *sdgossip.Socket
 	routes  atomic.Pointer[sdroute.Table]
-	// isWatcher tells whether this node watches the store.
-	isWatcher atomic.Bool
+	// watchRank is the place of this node among the nodes of its data centre
+	// that may watch the store.
+	watchRank atomic.Int64
 
 	// mu guards the decisions that traffic shares.
 	mu       sync.Mutex
 	balancer *sdbalance.Balancer
 	budget   *sdbudget.Budget
+	graph    *sdgraph.Graph
+	door     *sddoor.Door
 	random   *rand.Rand
 
 	peers    peers
@@ -84,6 +89,8 @@
 	n.budget = sdbudget.New(sdbudget.Limits{
 		Ratio: settings.Bounds.RetryRatio, Window: settings.Bounds.BudgetWindow, Least: settings.Bounds.MinRetries,
 	})
+	n.graph = sdgraph.New()
+	n.door = sddoor.New()
 	n.control = n.newControl()
 	n.peers.init()
 	n.runs.init()
@@ -204,6 +211,7 @@
 	add(n.runWatch)
 	add(n.runTarget)
 	add(n.runHousekeeping)
+	add(n.runDoor)
 	add(func(ctx context.Context) error { return n.runReload(ctx, reload) })
 	serve(l.callers, n.callers.Serve)
 	serve(l.peers, n.others.Serve)
--- /dev/null
+++ b/internal/sdsidecar/pressure.go
@@ -0,0 +1,106 @@
+package sdsidecar
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdhttp"
+	"github.com/savorydeal/savorydeal/internal/sdinner"
+)
+
+// doorEvery is the time between two moves of the door.
+const doorEvery = 100 * time.Millisecond
+
+// runDoor moves the door.
+func (n *Node) runDoor(ctx context.Context) error {
+	tick := time.NewTicker(doorEvery)
+	defer tick.Stop()
+	closed := false
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+		now := n.clock.Now()
+		n.mu.Lock()
+		n.door.Tick(now)
+		levels := n.door.Levels()
+		n.mu.Unlock()
+		if closed != (len(levels) > 0) {
+			closed = len(levels) > 0
+			n.log.Info("door", "closed", closed, "levels", levels)
+		}
+	}
+}
+
+func (n *Node) setPriorities(config savorydeal.RouteConfig) {
+	priorities := make([]int, 0, len(config.Routes))
+	for _, route := range config.Routes {
+		priorities = append(priorities, route.Priority)
+	}
+	n.mu.Lock()
+	n.door.SetPriorities(priorities)
+	n.mu.Unlock()
+}
+
+// refusedAtDoor refuses a whole new request that a service on its way has no
+// room for. Calls of a run that has begun pass.
+func (n *Node) refusedAtDoor(r *request) *sdhttp.Response {
+	if r.parent != nil {
+		return nil
+	}
+	n.mu.Lock()
+	now := n.clock.Now()
+	n.budget.Request(now, r.service)
+	service, refused := n.door.Refuses(r.rank, r.service, n.graph.Calls(now, r.route.Name), n.random.Float64())
+	level := n.door.Level(service)
+	n.mu.Unlock()
+	if !refused {
+		return nil
+	}
+	n.log.Request("refused at the door", "request", r.id, "route", r.route.Name, "rank", r.rank, "service", service, "level", level)
+	return n.refuse(r, reasonOverload)
+}
+
+// learn takes what the end of a try tells of the services below and their load.
+func (n *Node) learn(r *request, response *sdhttp.Response, reply sdinner.Reply) {
+	if reply.Reached {
+		r.tries++
+	}
+	if r.parent != nil && (reply.Reached || len(reply.Below) > 0) {
+		r.parent.note(r.service, 1, reply.Below)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	// A run that failed may have made only some of its calls.
+	if reply.Verdict == sdinner.VerdictRan && response.Status < http.StatusInternalServerError {
+		n.graph.Learn(now, r.route.Name, reply.Below)
+	}
+	if load, ok := n.balancer.Load(now, r.service); ok {
+		n.door.Report(now, r.service, load)
+	}
+	for service, load := range reply.Loads {
+		n.door.Report(now, service, load)
+	}
+}
+
+// loadsOf returns the loads of the services that a run has called.
+func (n *Node) loadsOf(calls map[string]float64) map[string]float64 {
+	if len(calls) == 0 {
+		return nil
+	}
+	loads := make(map[string]float64, len(calls))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.Now()
+	for service := range calls {
+		if load, ok := n.door.Load(now, service); ok {
+			loads[service] = load
+		}
+	}
+	return loads
+}
--- a/internal/sdsidecar/runs.go
+++ b/internal/sdsidecar/runs.go
@@ -1,6 +1,7 @@
 package sdsidecar
 
 import (
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -12,19 +13,42 @@
 	rank     int
 	depth    int
 	deadline time.Time
+
+	mu sync.Mutex
+	// below counts the calls of the run by service, with the calls below them.
+	below map[string]float64
+}
+
+// note counts a call of the run and what it has told of the calls below it.
+func (i *runInfo) note(service string, tries int, below map[string]float64) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.below == nil {
+		i.below = make(map[string]float64, 1+len(below))
+	}
+	i.below[service] += float64(tries)
+	for name, calls := range below {
+		i.below[name] += calls
+	}
+}
+
+func (i *runInfo) calls() map[string]float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return maps.Clone(i.below)
 }
 
 // runTable holds the runs under way on this VM's target by request id.
 type runTable struct {
 	mu   sync.Mutex
-	runs map[string]runInfo
+	runs map[string]*runInfo
 }
 
 func (t *runTable) init() {
-	t.runs = make(map[string]runInfo)
+	t.runs = make(map[string]*runInfo)
 }
 
-func (t *runTable) begin(id string, info runInfo) {
+func (t *runTable) begin(id string, info *runInfo) {
 	t.mu.Lock()
 	t.runs[id] = info
 	t.mu.Unlock()
@@ -38,10 +62,10 @@
 
 // parent returns the run that a request belongs to: targets name their calls by
 // the id of the run, a dot, and more.
-func (t *runTable) parent(id string) (runInfo, bool) {
+func (t *runTable) parent(id string) (*runInfo, bool) {
 	dot := strings.LastIndexByte(id, '.')
 	if dot < 0 {
-		return runInfo{}, false
+		return nil, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -23,6 +23,9 @@
 	targetIdle = 8 * time.Second
 	// leastRun is the least time left with which a call is handed to a target.
 	leastRun = 5 * time.Millisecond
+	// placeShare is the part of a target's slots that is used: some targets
+	// slow down when they are nearly full.
+	placeShare = 0.94
 )
 
 // Reasons for which a call has no answer of its own.
@@ -72,7 +75,7 @@
 	s.state = state
 	s.stopped = stopping
 	if state.Beat.Slots > 0 {
-		s.settle(s.queue.SetLimit(state.Beat.Slots))
+		s.settle(s.queue.SetLimit(int(placeShare * float64(state.Beat.Slots))))
 	}
 	if state.Target != savorydeal.TargetReady {
 		s.settle(s.queue.Drain())
@@ -125,10 +128,13 @@
 	}
 	began := time.Now()
 	id := request.Header.Get(s.node.edge.RequestID)
-	s.node.runs.begin(id, runInfo{route: call.Route, rank: call.Rank, depth: call.Depth, deadline: deadline})
+	info := &runInfo{route: call.Route, rank: call.Rank, depth: call.Depth, deadline: deadline}
+	s.node.runs.begin(id, info)
 	response, reply := s.run(ctx, call, request, id, deadline)
 	s.node.runs.end(id)
 	ran := time.Since(began)
+	reply.Below = info.calls()
+	reply.Loads = s.node.loadsOf(reply.Below)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if reply.Verdict == sdinner.VerdictRan {
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -40,6 +41,7 @@
 		response, reply := n.try(ctx, r, member, left)
 		n.observe(ctx, r, member, response, reply)
 		tried = append(tried, member.Node)
+		n.learn(r, response, reply)
 		reason = reply.Reason
 		last := ctx.Err() != nil || time.Until(r.deadline) < leastTry
 		switch step := attempts.Next(resultOf(response, reply), last, func() bool { return n.spend(r) }); step {
@@ -86,7 +88,13 @@
 func (n *Node) spend(r *request) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.budget.Spend(n.clock.Now(), map[string]float64{r.service: 1})
+	now := n.clock.Now()
+	costs := maps.Clone(n.graph.Calls(now, r.route.Name))
+	if costs == nil {
+		costs = make(map[string]float64, 1)
+	}
+	costs[r.service]++
+	return n.budget.Spend(now, costs)
 }
 
 // try sends the request to one target.
