Tests of the new packages; the door does not close on old word

Cause, found by TestReopens: the last word on a service's load went on closing the door for 2 s after it came. Ruled out: the open rate. Closing now needs word of the last 0.4 s. Cause, found by TestTargetsBySpeedAndFailures: of two equal targets one kept all calls, since what was known of the other did not change. A jitter of a tenth keeps both in use.

--- a/Makefile
+++ b/Makefile
@@ -70,4 +70,5 @@
 # Fuzzes the decoders that face outside, each for FUZZ_TIME.
 fuzz:
 	go test ./internal/sdwire -run '^$$' -fuzz FuzzDecodeCall -fuzztime $(FUZZ_TIME)
+	go test ./platform -run '^$$' -fuzz FuzzDecoders -fuzztime $(FUZZ_TIME)
 	go test ./internal/sdentry -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZ_TIME)
--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -41,6 +41,9 @@
 	// serviceLoadAge is the age from which a target's word on its load no
 	// longer counts for its service.
 	serviceLoadAge = time.Second
+	// costJitter keeps targets that are nearly equal all in use, so that what is
+	// known of them stays fresh.
+	costJitter = 0.1
 	// kneePower makes a target seem slower as it fills up.
 	kneePower = 3
 	// firstMean is the mean time of a route before its first answer.
@@ -162,7 +165,7 @@
 	mean := b.mean(route)
 	best, least := open[0], math.Inf(1)
 	for _, t := range open[:min(candidates, len(open))] {
-		if cost := b.cost(now, t, mean); cost < least {
+		if cost := b.cost(now, t, mean) * (1 + costJitter*b.random.Float64()); cost < least {
 			best, least = t, cost
 		}
 	}
--- a/internal/sddoor/door.go
+++ b/internal/sddoor/door.go
@@ -26,6 +26,8 @@
 	loadWeight = 0.3
 	// loadAge is the age from which a word on a load no longer counts.
 	loadAge = 2 * time.Second
+	// closeAge is the age from which a word on a load closes the door no more.
+	closeAge = 400 * time.Millisecond
 	// blindRate is the levels a second by which the door opens without word.
 	blindRate = 0.5
 )
@@ -89,6 +91,9 @@
 		switch {
 		case now.Sub(s.at) > loadAge:
 			s.level -= blindRate * passed
+		case now.Sub(s.at) > closeAge:
+			// Few requests pass a door that is nearly closed, and word is rare:
+			// it is no reason to close on.
 		case s.load > fullLoad:
 			s.level += closeRate * (s.load - fullLoad) * passed
 		case s.load < openLoad:
--- /dev/null
+++ b/internal/sdhttp/server_test.go
@@ -0,0 +1,220 @@
+package sdhttp_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdhttp"
+)
+
+const patience = 5 * time.Second
+
+func limits() sdhttp.Limits {
+	return sdhttp.Limits{MaxHeaderBytes: 1 << 16, MaxBodyBytes: 1 << 20, HeaderTimeout: patience, IdleTimeout: patience}
+}
+
+// start serves the handler on loopback.
+func start(t *testing.T, handler sdhttp.Handler) (*sdhttp.Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &sdhttp.Server{Handler: handler, Limits: limits}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return server, listener.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func get(target string) string {
+	return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"
+}
+
+func answerBody(t *testing.T, reader *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	answer, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer, string(body)
+}
+
+// Requests sent ahead run at the same time and are answered in their order.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	_, address := start(t, func(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
+		if request.Target == "/1" {
+			<-second
+		} else {
+			close(second)
+		}
+		return &sdhttp.Response{Status: http.StatusOK, Body: []byte(request.Target)}
+	})
+	conn, reader := dial(t, address)
+	send(t, conn, get("/1")+get("/2"))
+	_, first := answerBody(t, reader)
+	is.Equal(first, "/1")
+	_, last := answerBody(t, reader)
+	is.Equal(last, "/2")
+}
+
+// A caller who leaves ends the context of what runs for it.
+func TestCallerWhoLeavesIsNoticed(t *testing.T) {
+	left := make(chan struct{})
+	_, address := start(t, func(ctx context.Context, _ *sdhttp.Request) *sdhttp.Response {
+		<-ctx.Done()
+		close(left)
+		return &sdhttp.Response{Status: http.StatusBadGateway}
+	})
+	conn, _ := dial(t, address)
+	send(t, conn, get("/"))
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.Close()
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the handler did not learn that its caller has left within 0.5 s")
+	}
+}
+
+// When the server closes soon, the answer of the last request that was read
+// says so, and nothing that was read is cut.
+func TestClosingAnswersWhatWasRead(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{}, 2)
+	release := make(chan struct{})
+	server, address := start(t, func(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
+		running <- struct{}{}
+		<-release
+		return &sdhttp.Response{Status: http.StatusOK, Body: []byte(request.Target)}
+	})
+	conn, reader := dial(t, address)
+	send(t, conn, get("/1")+get("/2"))
+	<-running
+	<-running
+	server.CloseSoon()
+	server.CloseIdle()
+	close(release)
+	first, body := answerBody(t, reader)
+	is.Equal(body, "/1")
+	is.True(!first.Close)
+	second, body := answerBody(t, reader)
+	is.Equal(body, "/2")
+	is.True(second.Close)
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// A request on an idle connection that is closed meets an end, not an answer
+// to somebody else.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	is := is.New(t)
+	server, address := start(t, func(context.Context, *sdhttp.Request) *sdhttp.Response {
+		return &sdhttp.Response{Status: http.StatusOK}
+	})
+	conn, reader := dial(t, address)
+	send(t, conn, get("/"))
+	answerBody(t, reader)
+	time.Sleep(20 * time.Millisecond)
+	server.CloseIdle()
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// A body that broke off must not look whole, whatever its framing.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	for name, length := range map[string]int64{"known length": 100, "unknown length": -1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := start(t, func(context.Context, *sdhttp.Request) *sdhttp.Response {
+				rest := io.MultiReader(strings.NewReader("half"), brokenReader{})
+				return &sdhttp.Response{Status: http.StatusOK, Rest: io.NopCloser(rest), RestBytes: length}
+			})
+			conn, reader := dial(t, address)
+			send(t, conn, get("/"))
+			answer, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			_, err = io.ReadAll(answer.Body)
+			is.True(err != nil)
+		})
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, fmt.Errorf("broken") }
+
+// What cannot be read as a request is refused and ends the connection.
+func TestMalformedRequests(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		want       int
+	}{
+		{"junk", "\x00\x01\r\n\r\n", http.StatusBadRequest},
+		{"body over the limit", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n", http.StatusRequestEntityTooLarge},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", http.StatusBadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, address := start(t, func(context.Context, *sdhttp.Request) *sdhttp.Response {
+				t.Error("a malformed request was handled")
+				return &sdhttp.Response{Status: http.StatusOK}
+			})
+			conn, reader := dial(t, address)
+			send(t, conn, c.text)
+			answer, _ := answerBody(t, reader)
+			is.Equal(answer.StatusCode, c.want)
+			is.True(answer.Close)
+		})
+	}
+}
+
+// Bodies in chunks arrive whole.
+func TestChunkedBody(t *testing.T) {
+	is := is.New(t)
+	_, address := start(t, func(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
+		return &sdhttp.Response{Status: http.StatusOK, Body: request.Body}
+	})
+	conn, reader := dial(t, address)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	_, body := answerBody(t, reader)
+	is.Equal(body, "abcde")
+}
--- /dev/null
+++ b/internal/sdinstance/tracker_test.go
@@ -0,0 +1,80 @@
+package sdinstance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdinstance"
+)
+
+var start = time.Unix(1000, 0)
+
+func beat(identity string, started, sequence int64, leaving bool) savorydeal.Beat {
+	return savorydeal.Beat{Identity: identity, Started: started, Sequence: sequence, Service: "s", Address: "a", Slots: 5, Leaving: leaving}
+}
+
+// Each row is a series of announcements, the last of which has to be judged so
+// and to leave the target in this state.
+func TestAnnouncementsInAnyOrder(t *testing.T) {
+	foreign := beat("x", 9, 9, false)
+	foreign.Service = "other"
+	moved := beat("x", 9, 9, false)
+	moved.Address = "elsewhere"
+	for _, c := range []struct {
+		name    string
+		beats   []savorydeal.Beat
+		verdict sdinstance.Verdict
+		state   savorydeal.TargetState
+	}{
+		{"first", []savorydeal.Beat{beat("i", 1, 1, false)}, sdinstance.VerdictTaken, savorydeal.TargetReady},
+		{"leaving", []savorydeal.Beat{beat("i", 1, 1, false), beat("i", 1, 2, true)}, sdinstance.VerdictTaken, savorydeal.TargetLeaving},
+		{"late word before the leave", []savorydeal.Beat{beat("i", 1, 3, true), beat("i", 1, 2, false)}, sdinstance.VerdictOld, savorydeal.TargetLeaving},
+		{"same start after its leave", []savorydeal.Beat{beat("i", 1, 2, true), beat("i", 1, 3, false)}, sdinstance.VerdictTaken, savorydeal.TargetLeaving},
+		{"new start under the same identity", []savorydeal.Beat{beat("i", 1, 9, true), beat("i", 2, 1, false)}, sdinstance.VerdictTaken, savorydeal.TargetReady},
+		{"late word of a dead start", []savorydeal.Beat{beat("j", 2, 1, false), beat("i", 1, 99, true)}, sdinstance.VerdictOld, savorydeal.TargetReady},
+		{"another service at the address", []savorydeal.Beat{beat("i", 1, 1, false), foreign}, sdinstance.VerdictForeign, savorydeal.TargetReady},
+		{"a target of another VM", []savorydeal.Beat{beat("i", 1, 1, false), moved}, sdinstance.VerdictForeign, savorydeal.TargetReady},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := sdinstance.New("s", "a")
+			var verdict sdinstance.Verdict
+			for _, b := range c.beats {
+				verdict = tracker.Announce(start, b)
+			}
+			is.Equal(verdict, c.verdict)
+			is.Equal(tracker.State().Target, c.state)
+		})
+	}
+}
+
+// The last call of an earlier start does not end the present one.
+func TestLeaveOfAnotherStart(t *testing.T) {
+	is := is.New(t)
+	tracker := sdinstance.New("s", "a")
+	tracker.Announce(start, beat("i", 5, 1, false))
+	is.Equal(tracker.Leave(start, "i", 4), sdinstance.VerdictOld)
+	is.Equal(tracker.Leave(start, "h", 5), sdinstance.VerdictForeign)
+	is.Equal(tracker.State().Target, savorydeal.TargetReady)
+	is.Equal(tracker.Leave(start, "i", 0), sdinstance.VerdictTaken)
+	is.Equal(tracker.State().Target, savorydeal.TargetLeaving)
+}
+
+// What connections show counts until the target announces itself.
+func TestLostAndBack(t *testing.T) {
+	is := is.New(t)
+	tracker := sdinstance.New("s", "a")
+	is.True(tracker.Found(start, "i", 3))
+	is.Equal(tracker.State().Target, savorydeal.TargetReady)
+	is.True(tracker.Lost())
+	is.True(!tracker.Lost())
+	is.True(tracker.Back(start))
+	tracker.Announce(start, beat("i", 5, 1, true))
+	is.True(!tracker.Lost()) // leaving stays leaving
+	is.True(!tracker.Found(start, "k", 3))
+	is.True(tracker.Misdirected("k"))
+	is.Equal(tracker.State().Target, savorydeal.TargetAbsent)
+}
