--- /dev/null
+++ b/internal/sdestate/estate.go
@@ -0,0 +1,334 @@
+// Package sdestate starts a small installation of the users' platform on
+// loopback: the store's stand-in, targets, and nodes that speak the platform's
+// manner. Tests run it within one process, the platform demonstration with
+// nodes as processes.
+package sdestate
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdsidecar"
+	"github.com/savorydeal/savorydeal/internal/sdstandapp"
+	"github.com/savorydeal/savorydeal/internal/sdstandstore"
+	"github.com/savorydeal/savorydeal/platform"
+)
+
+// Ports are the same on all VMs; their addresses differ.
+const (
+	portCallers  = 20104
+	portReady    = 20102
+	portAnnounce = 20106
+	portTarget   = 20101
+	portPeers    = 20120
+	portMetrics  = 20121
+	beatEvery    = 300 * time.Millisecond
+)
+
+// Host is the host of all routes of an estate.
+const Host = "estate.example"
+
+// Service is one service of an estate.
+type Service struct {
+	Name  string
+	Slots int
+	Work  time.Duration
+	// Targets is the number of VMs in each data centre.
+	Targets int
+}
+
+// Plan says what an estate consists of.
+type Plan struct {
+	DataCentres []string
+	Services    []Service
+	Config      Config
+	// Calls are made by the runs of a path prefix.
+	Calls map[string][]sdstandapp.Call
+	// Grace is the time from the stop signal to the kill.
+	Grace time.Duration
+}
+
+// Route is one route of the configuration.
+type Route struct {
+	Name, Prefix, Kind, Service string
+	Timeout                     time.Duration
+	Priority, MaxTargets        int
+}
+
+// Config is the configuration in the store.
+type Config struct {
+	Version uint64
+	Routes  []Route
+}
+
+// VM is one VM with its target and its node.
+type VM struct {
+	Name       string
+	DataCentre string
+	Service    string
+	Address    string
+	// SettingsPath is the settings file of its node.
+	SettingsPath string
+	App          *sdstandapp.App
+
+	estate      *Estate
+	stopBeats   context.CancelFunc
+	stopNode    context.CancelFunc
+	nodeStopped chan error
+}
+
+// Estate is a running installation.
+type Estate struct {
+	Store  *sdstandstore.Store
+	Ledger *sdstandapp.Ledger
+	VMs    []*VM
+	Plan   Plan
+
+	folder string
+	server *http.Server
+	store  net.Listener
+	client *http.Client
+	log    hclog.Logger
+}
+
+// Start starts the store and the targets of a plan, and writes the settings of
+// the nodes into the folder. The nodes are started by StartNode.
+func Start(plan Plan, folder string, log hclog.Logger) (*Estate, error) {
+	network := fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250))
+	e := &Estate{
+		Store: sdstandstore.New(), Ledger: &sdstandapp.Ledger{}, Plan: plan, folder: folder, log: log,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	var err error
+	if e.store, err = net.Listen("tcp", network+"250:0"); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	e.server = &http.Server{Handler: e.Store}
+	go func() { _ = e.server.Serve(e.store) }()
+	if err := e.SetConfig(plan.Config); err != nil {
+		return nil, err
+	}
+	for _, dataCentre := range plan.DataCentres {
+		for _, service := range plan.Services {
+			for range service.Targets {
+				if err := e.addVM(network, dataCentre, service); err != nil {
+					e.Close()
+					return nil, err
+				}
+			}
+		}
+	}
+	return e, nil
+}
+
+func (e *Estate) addVM(network, dataCentre string, service Service) error {
+	number := len(e.VMs) + 1
+	vm := &VM{
+		Name: fmt.Sprintf("%s-%s-%d", dataCentre, service.Name, number), DataCentre: dataCentre, Service: service.Name,
+		Address: fmt.Sprintf("%s%d", network, number), estate: e, nodeStopped: make(chan error, 1),
+	}
+	at := func(port int) string { return fmt.Sprintf("%s:%d", vm.Address, port) }
+	settings, err := json.MarshalIndent(map[string]any{
+		"nodeId": vm.Name, "ip": vm.Address, "zone": dataCentre, "region": "loopback", "service": service.Name, "appAddr": at(portTarget),
+		"listenAddrs":       map[string]string{"outbound": at(portCallers), "ready": at(portReady), "control": at(portAnnounce)},
+		"internalPortRange": []int{portPeers, portMetrics}, "seedNodes": []string{}, "heartbeatS": beatEvery.Seconds(),
+		"limits": map[string]any{"memoryMb": 256},
+		"bounds": map[string]any{
+			"drainS": 2, "graceS": e.Plan.Grace.Seconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetMinRetries": 50, "configApplyS": 2,
+		},
+		"platform": map[string]any{"address": e.store.Addr().String()},
+	}, "", "  ")
+	if err != nil {
+		return err
+	}
+	vm.SettingsPath = filepath.Join(e.folder, vm.Name+".json")
+	if err := os.WriteFile(vm.SettingsPath, settings, 0o600); err != nil {
+		return fmt.Errorf("settings of %s: %w", vm.Name, err)
+	}
+	vm.App, err = sdstandapp.Start(sdstandapp.Config{
+		Edge: platform.Headers(), Address: at(portTarget), Onward: at(portCallers), Announce: at(portAnnounce),
+		Identity: "i-" + vm.Name, Service: service.Name, DataCentre: dataCentre, Started: time.Now().UnixMilli(),
+		Slots: service.Slots, Work: service.Work, Calls: e.Plan.Calls, BeatEvery: beatEvery,
+	}, e.Ledger)
+	if err != nil {
+		return err
+	}
+	e.VMs = append(e.VMs, vm)
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.stopBeats = cancel
+	go vm.App.Announce(ctx)
+	return nil
+}
+
+// SetConfig writes a configuration to the store.
+func (e *Estate) SetConfig(config Config) error {
+	routes := make([]map[string]any, 0, len(config.Routes))
+	for _, route := range config.Routes {
+		routes = append(routes, map[string]any{
+			"name": route.Name, "pathPrefix": route.Prefix, "kind": route.Kind, "timeoutS": route.Timeout.Seconds(),
+			"targetLatencyS": route.Timeout.Seconds() / 2, "priority": route.Priority, "service": route.Service, "maxAttempts": route.MaxTargets,
+		})
+	}
+	services := make([]map[string]any, 0, len(e.Plan.Services))
+	for _, service := range e.Plan.Services {
+		services = append(services, map[string]any{"name": service.Name, "healthPath": "/health", "maxConnections": 1000})
+	}
+	spec, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", config.Version), "services": services,
+		"limits":       map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+		"virtualHosts": []map[string]any{{"host": Host, "routePaths": routes}},
+	})
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	e.Store.Set(platform.ConfigKind, platform.ConfigName, spec)
+	return nil
+}
+
+// StartNode runs the VM's node within this process.
+func (vm *VM) StartNode() error {
+	settings, err := platform.ReadSettings(vm.SettingsPath)
+	if err != nil {
+		return err
+	}
+	node, err := sdsidecar.New(settings, sdclock.System{}, vm.estate.log.With("node", vm.Name))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.stopNode = cancel
+	go func() { vm.nodeStopped <- node.Run(ctx, nil) }()
+	return nil
+}
+
+// StopNode stops the VM's node gracefully and waits for its end.
+func (vm *VM) StopNode() error {
+	if vm.stopNode == nil {
+		return nil
+	}
+	vm.stopNode()
+	vm.stopNode = nil
+	return <-vm.nodeStopped
+}
+
+// CrashTarget ends the VM's target at once.
+func (vm *VM) CrashTarget() {
+	vm.stopBeats()
+	vm.App.Close()
+}
+
+// StartNodes runs all nodes within this process and waits until they are ready.
+func (e *Estate) StartNodes(ctx context.Context) error {
+	for _, vm := range e.VMs {
+		if err := vm.StartNode(); err != nil {
+			return err
+		}
+	}
+	return e.WaitReady(ctx)
+}
+
+// WaitReady waits until all nodes are ready and each route is served by each.
+func (e *Estate) WaitReady(ctx context.Context) error {
+	for _, vm := range e.VMs {
+		for !vm.Ready(ctx) || !e.served(ctx, vm) {
+			select {
+			case <-time.After(20 * time.Millisecond):
+			case <-ctx.Done():
+				return fmt.Errorf("node %s is not ready: %w", vm.Name, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func (e *Estate) served(ctx context.Context, vm *VM) bool {
+	for _, route := range e.Plan.Config.Routes {
+		answer := e.Do(ctx, vm, Request{Path: route.Prefix + "ready", ID: fmt.Sprintf("ready-%d", rand.Uint64())})
+		if answer.Status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready asks the node whether it is ready.
+func (vm *VM) Ready(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readiness", vm.Address, portReady), nil)
+	if err != nil {
+		return false
+	}
+	answer, err := vm.estate.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// Request is one request of a caller.
+type Request struct {
+	ID, Path string
+	Timeout  time.Duration
+	Header   http.Header
+}
+
+// Answer is what the caller got. Err is set if it was not whole.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   string
+	Err    error
+}
+
+// defaultTimeout is the time that callers wait.
+const defaultTimeout = 3 * time.Second
+
+// Do sends a request to the VM's node.
+func (e *Estate) Do(ctx context.Context, vm *VM, sent Request) Answer {
+	if sent.Timeout == 0 {
+		sent.Timeout = defaultTimeout
+	}
+	edge := platform.Headers()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", vm.Address, portCallers, sent.Path), nil)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	request.Host = Host
+	for name, values := range sent.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set(edge.RequestID, sent.ID)
+	request.Header.Set(edge.Timeout, fmt.Sprint(sent.Timeout.Milliseconds()))
+	answer, err := e.client.Do(request)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return Answer{Status: answer.StatusCode, Header: answer.Header, Body: string(body), Err: err}
+}
+
+// Close ends everything.
+func (e *Estate) Close() {
+	for _, vm := range e.VMs {
+		if err := vm.StopNode(); err != nil && !errors.Is(err, context.Canceled) {
+			e.log.Warn("node ended", "node", vm.Name, "error", err)
+		}
+		vm.stopBeats()
+		vm.App.Close()
+	}
+	e.Store.Close()
+	_ = e.server.Close()
+}
--- /dev/null
+++ b/internal/sdestate/estate_test.go
@@ -0,0 +1,280 @@
+package sdestate_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/internal/sdestate"
+	"github.com/savorydeal/savorydeal/internal/sdstandapp"
+	"github.com/savorydeal/savorydeal/internal/sdstandstore"
+	"github.com/savorydeal/savorydeal/platform"
+)
+
+const readyWithin = 20 * time.Second
+
+// configWithin is the platform's bound for a configuration.
+const configWithin = 2 * time.Second
+
+func plan() sdestate.Plan {
+	return sdestate.Plan{
+		DataCentres: []string{"east", "west"},
+		Services: []sdestate.Service{
+			{Name: "desk", Slots: 20, Work: 2 * time.Millisecond, Targets: 2},
+			{Name: "ledger", Slots: 20, Work: 2 * time.Millisecond, Targets: 1},
+		},
+		Config: sdestate.Config{Version: 12, Routes: []sdestate.Route{
+			{Name: "look", Prefix: "/look/", Kind: "idempotent", Service: "desk", Timeout: 2 * time.Second, Priority: 1, MaxTargets: 2},
+			{Name: "sign", Prefix: "/sign/", Kind: "non_idempotent", Service: "desk", Timeout: 2 * time.Second, Priority: 0, MaxTargets: 2},
+			{Name: "entry", Prefix: "/entry/", Kind: "idempotent", Service: "ledger", Timeout: 2 * time.Second, Priority: 1, MaxTargets: 2},
+		}},
+		Calls: map[string][]sdstandapp.Call{"/look/": {{Host: sdestate.Host, Path: "/entry/1"}}},
+		Grace: 4 * time.Second,
+	}
+}
+
+func start(t *testing.T) (*sdestate.Estate, context.Context) {
+	t.Helper()
+	estate, err := sdestate.Start(plan(), t.TempDir(), hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(estate.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+	t.Cleanup(cancel)
+	if err := estate.StartNodes(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return estate, ctx
+}
+
+// load sends requests through all nodes and returns the answers by id.
+func load(ctx context.Context, estate *sdestate.Estate, path, prefix string, count int) map[string]sdestate.Answer {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	answers := make(map[string]sdestate.Answer, count)
+	for i := range count {
+		id := fmt.Sprintf("%s%d", prefix, i)
+		group.Go(func() {
+			answer := estate.Do(ctx, estate.VMs[i%len(estate.VMs)], sdestate.Request{ID: id, Path: path + id})
+			mu.Lock()
+			answers[id] = answer
+			mu.Unlock()
+		})
+		time.Sleep(time.Millisecond)
+	}
+	group.Wait()
+	return answers
+}
+
+func runsOf(estate *sdestate.Estate) map[string][]sdstandapp.Run {
+	runs := make(map[string][]sdstandapp.Run)
+	for _, run := range estate.Ledger.Runs() {
+		runs[run.ID] = append(runs[run.ID], run)
+	}
+	return runs
+}
+
+// A quiet day: every request has the whole answer to it, ran once, with its
+// calls, and the target was told where it began and how long it may take.
+func TestQuietDay(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	answers := load(ctx, estate, "/look/", "q", 200)
+	runs := runsOf(estate)
+	for id, answer := range answers {
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status, http.StatusOK)
+		is.Equal(answer.Body, "answer to "+id)
+		is.Equal(len(runs[id]), 1)
+		is.Equal(len(runs[id+".0"]), 1)
+		is.Equal(runs[id+".0"][0].CallerService, "desk")
+		is.True(runs[id][0].Timeout <= 2*time.Second) // the route's, not the caller's 3 s
+	}
+	is.Equal(estate.Do(ctx, estate.VMs[0], sdestate.Request{ID: "none", Path: "/none/"}).Status, http.StatusNotFound)
+}
+
+// A caller cannot name its own service, and headers between nodes mean nothing
+// from outside.
+func TestForgedHeaders(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	edge := platform.Headers()
+	header := http.Header{edge.CallerService: {"forged"}, edge.TargetIdentity: {"i-forged"}, "Sd-Call": {"desk;x;0;9;1;1;true;forged"}}
+	answer := estate.Do(ctx, estate.VMs[0], sdestate.Request{ID: "forged", Path: "/sign/1", Header: header})
+	is.Equal(answer.Status, http.StatusOK)
+	is.Equal(runsOf(estate)["forged"][0].CallerService, estate.VMs[0].Service)
+	is.Equal(answer.Header.Get("Sd-Reply"), "")
+}
+
+// Each row is a way in which targets fail. What may not be repeated runs at most
+// once, a refusal has not run, and every success is whole and the caller's own.
+func TestTargetsFail(t *testing.T) {
+	for _, failure := range []sdstandapp.Failure{
+		sdstandapp.FailureError, sdstandapp.FailureLost, sdstandapp.FailureCut, sdstandapp.FailureExtra, sdstandapp.FailureShed,
+	} {
+		t.Run(string(failure), func(t *testing.T) {
+			is := is.New(t)
+			estate, ctx := start(t)
+			fired := 0
+			var mu sync.Mutex
+			for _, vm := range estate.VMs {
+				vm.App.Fail(func(id string) sdstandapp.Failure {
+					mu.Lock()
+					defer mu.Unlock()
+					if !strings.HasPrefix(id, "f") || len(id)%2 == 0 {
+						return sdstandapp.FailureNone
+					}
+					fired++
+					return failure
+				})
+			}
+			answers := load(ctx, estate, "/sign/", "f", 150)
+			runs := runsOf(estate)
+			for id, answer := range answers {
+				is.NoErr(answer.Err)
+				is.True(len(runs[id]) <= 1)
+				switch answer.Status {
+				case http.StatusOK:
+					is.Equal(answer.Body, "answer to "+id)
+				case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+					is.Equal(len(runs[id]), 0)
+					is.True(answer.Header.Get("Retry-After") != "")
+				}
+			}
+			is.True(fired > 0)
+		})
+	}
+}
+
+// After a target's leaving is acknowledged nothing begins there, and nothing is
+// lost by it.
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	leaving := estate.VMs[0]
+	is.NoErr(leaving.App.Leave(ctx))
+	left := time.Now()
+	for id, answer := range load(ctx, estate, "/sign/", "l", 150) {
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status, http.StatusOK)
+		_ = id
+	}
+	for _, run := range estate.Ledger.Runs() {
+		is.True(run.Target != "i-"+leaving.Name || run.At.Before(left))
+	}
+}
+
+// A target that is gone costs no request: what has not been sent goes elsewhere.
+func TestCrashedTarget(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	estate.VMs[0].CrashTarget()
+	for _, answer := range load(ctx, estate, "/sign/", "c", 150) {
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status, http.StatusOK)
+	}
+}
+
+// A planned stop of a node cuts no request, whoever sent it.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	stopped := make(chan error, 1)
+	go func() { stopped <- estate.VMs[1].StopNode() }()
+	for round := range 10 {
+		for _, answer := range load(ctx, estate, "/sign/", fmt.Sprintf("s%d-", round), 60) {
+			is.NoErr(answer.Err)
+			is.Equal(answer.Status, http.StatusOK)
+		}
+	}
+	is.NoErr(<-stopped)
+	is.True(!estate.VMs[1].Ready(ctx))
+}
+
+// Each row is a way in which the store fails. The nodes go on serving, and a
+// change that came meanwhile is in force in time once the store is back.
+func TestStoreFails(t *testing.T) {
+	for _, c := range []struct {
+		fault sdstandstore.Fault
+		// some limits the fault to the nodes of one data centre.
+		some bool
+	}{
+		{sdstandstore.FaultBusy, false},
+		{sdstandstore.FaultThrottle, false},
+		{sdstandstore.FaultSilent, false},
+		{sdstandstore.FaultReset, false},
+		{sdstandstore.FaultDeaf, false},
+		{sdstandstore.FaultSilent, true},
+		{sdstandstore.FaultBusy, true},
+	} {
+		name := string(c.fault)
+		if c.some {
+			name += " for some"
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			estate, ctx := start(t)
+			var only []string
+			if c.some {
+				for _, vm := range estate.VMs[:len(estate.VMs)/2] {
+					only = append(only, vm.Address)
+				}
+			}
+			calls := estate.Store.Calls()
+			estate.Store.Fail(c.fault, only...)
+			changed := estate.Plan.Config
+			changed.Version = 900
+			changed.Routes = append([]sdestate.Route{{
+				Name: "new", Prefix: "/new/", Kind: "idempotent", Service: "ledger", Timeout: time.Second, Priority: 1, MaxTargets: 2,
+			}}, changed.Routes...)
+			is.NoErr(estate.SetConfig(changed))
+			time.Sleep(time.Second)
+			for _, answer := range load(ctx, estate, "/sign/", "d", 40) {
+				is.Equal(answer.Status, http.StatusOK)
+			}
+			if !c.some {
+				estate.Store.Fail(sdstandstore.FaultNone)
+			}
+			// The store's own disturbance stretches the bound by what a node
+			// waits between two calls of a store that fails.
+			deadline := time.Now().Add(configWithin)
+			for _, vm := range estate.VMs {
+				for estate.Do(ctx, vm, sdestate.Request{ID: "n" + vm.Name + fmt.Sprint(time.Now().UnixNano()), Path: "/new/"}).Status != http.StatusOK {
+					if time.Now().After(deadline) {
+						t.Fatalf("configuration not in force at %s within %v", vm.Name, configWithin)
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+			is.True(estate.Store.Calls() > calls)
+		})
+	}
+}
+
+// All nodes end at once and start again with no seeds: they find each other and
+// serve.
+func TestAllNodesStartAgain(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	var group sync.WaitGroup
+	for _, vm := range estate.VMs {
+		group.Go(func() {
+			if err := vm.StopNode(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	is.NoErr(estate.StartNodes(ctx))
+	for _, answer := range load(ctx, estate, "/look/", "again", 60) {
+		is.Equal(answer.Status, http.StatusOK)
+	}
+}
