--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -147,7 +147,7 @@
 			open = append(open, t)
 		}
 	}
-	if len(open) == 0 {
+	if len(open) == 0 && len(tried) == 0 {
 		// None is well: one that was left out may be back.
 		for _, t := range all {
 			if !slices.Contains(tried, t.member.Node) {
--- a/internal/sdbalance/balance_test.go
+++ b/internal/sdbalance/balance_test.go
@@ -121,3 +121,16 @@
 	is.True(ok)
 	is.Equal(load, 1.15)
 }
+
+// After a full target has refused a call, one that cannot be reached is no way
+// out; a new call may try it when nobody else is left.
+func TestUnreachableIsNoSecondChoice(t *testing.T) {
+	is := is.New(t)
+	b := newBalancer(members(2))
+	b.Observe(start, sdbalance.Observation{Node: "n1", Route: "r", Result: sdbalance.ResultUnreachable})
+	_, ok := b.Choose(start, "s", "r", []savorydeal.NodeID{"n0"})
+	is.True(!ok)
+	b.Observe(start, sdbalance.Observation{Node: "n0", Route: "r", Result: sdbalance.ResultUnreachable})
+	_, ok = b.Choose(start, "s", "r", nil)
+	is.True(ok)
+}
--- a/internal/sddoor/door.go
+++ b/internal/sddoor/door.go
@@ -21,11 +21,14 @@
 	// for each unit of load off the bounds. Word from a deep service takes some
 	// 0.2 s; these rates move the door by less than a third of a rank in that.
 	closeRate = 1.0
-	openRate  = 0.8
+	openRate  = 1.5
 	// loadWeight is the weight of one word on a service's load.
 	loadWeight = 0.3
 	// loadAge is the age from which a word on a load no longer counts.
 	loadAge = 2 * time.Second
+	// fallingBy is the change between two ticks from which a load counts as
+	// falling.
+	fallingBy = 0.01
 	// closeAge is the age from which a word on a load closes the door no more.
 	closeAge = 400 * time.Millisecond
 	// blindRate is the levels a second by which the door opens without word.
@@ -36,6 +39,8 @@
 	load  float64
 	at    time.Time
 	level float64
+	// before is the load at the last tick.
+	before float64
 }
 
 // Door is the door of one node. It is not safe for concurrent use.
@@ -94,12 +99,16 @@
 		case now.Sub(s.at) > closeAge:
 			// Few requests pass a door that is nearly closed, and word is rare:
 			// it is no reason to close on.
+		case s.load > fullLoad && s.load < s.before-fallingBy:
+			// What was let in before is being worked off: closing further
+			// would leave the service idle afterwards.
 		case s.load > fullLoad:
 			s.level += closeRate * (s.load - fullLoad) * passed
 		case s.load < openLoad:
 			s.level -= openRate * (openLoad - s.load) * passed
 		}
 		s.level = min(highest, max(0, s.level))
+		s.before = s.load
 	}
 }
 
--- a/internal/sddoor/door_test.go
+++ b/internal/sddoor/door_test.go
@@ -83,3 +83,17 @@
 	drive(d, start, 1.3, 100)
 	is.Equal(d.Level("deep"), 0.0)
 }
+
+// While a queue that stood before is worked off, the door closes no further.
+func TestDoesNotCloseOnAFallingLoad(t *testing.T) {
+	is := is.New(t)
+	d := sddoor.New()
+	d.SetPriorities([]int{0, 1, 2})
+	d.Tick(start)
+	now := drive(d, start, 3, 5)
+	level := d.Level("deep")
+	for load := 2.9; load > 1.5; load -= 0.1 {
+		now = drive(d, now, load, 1)
+	}
+	is.True(d.Level("deep") < level+0.3)
+}
--- a/internal/sdestate/estate.go
+++ b/internal/sdestate/estate.go
@@ -85,6 +85,7 @@
 
 	estate      *Estate
 	stopBeats   context.CancelFunc
+	node        *sdsidecar.Node
 	stopNode    context.CancelFunc
 	nodeStopped chan error
 }
@@ -208,7 +209,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	vm.stopNode = cancel
+	vm.node, vm.stopNode = node, cancel
 	go func() { vm.nodeStopped <- node.Run(ctx, nil) }()
 	return nil
 }
@@ -223,6 +224,16 @@
 	return <-vm.nodeStopped
 }
 
+// KillNode ends the VM's node at once and waits for its end.
+func (vm *VM) KillNode() error {
+	if vm.stopNode == nil {
+		return nil
+	}
+	vm.node.Abort()
+	vm.stopNode = nil
+	return <-vm.nodeStopped
+}
+
 // CrashTarget ends the VM's target at once.
 func (vm *VM) CrashTarget() {
 	vm.stopBeats()
@@ -323,7 +334,7 @@
 // Close ends everything.
 func (e *Estate) Close() {
 	for _, vm := range e.VMs {
-		if err := vm.StopNode(); err != nil && !errors.Is(err, context.Canceled) {
+		if err := vm.KillNode(); err != nil && !errors.Is(err, context.Canceled) {
 			e.log.Warn("node ended", "node", vm.Name, "error", err)
 		}
 		vm.stopBeats()
--- a/internal/sdhttp/server.go
+++ b/internal/sdhttp/server.go
@@ -118,15 +118,26 @@
 
 // CloseIdle closes the connections that have no request.
 func (s *Server) CloseIdle() {
+	for _, c := range s.all() {
+		c.closeIfIdle()
+	}
+}
+
+// Close closes all connections at once.
+func (s *Server) Close() {
+	for _, c := range s.all() {
+		_ = c.conn.Close()
+	}
+}
+
+func (s *Server) all() []*serverConn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	conns := make([]*serverConn, 0, len(s.conns))
 	for c := range s.conns {
 		conns = append(conns, c)
 	}
-	s.mu.Unlock()
-	for _, c := range conns {
-		c.closeIfIdle()
-	}
+	return conns
 }
 
 func (s *Server) forget(c *serverConn) {
--- a/internal/sdsidecar/announce.go
+++ b/internal/sdsidecar/announce.go
@@ -17,8 +17,11 @@
 	targetPoll = 100 * time.Millisecond
 	// healthTimeout bounds one health check.
 	healthTimeout = 500 * time.Millisecond
-	// guessedSlots is taken until a target has told its slots.
-	guessedSlots = 32
+	// leastSlots and connectionsPerSlot give the slots of a target that has not
+	// told them yet, from the connections that operators allow to it. What is
+	// too much for it the target itself turns away.
+	leastSlots         = 32
+	connectionsPerSlot = 8
 )
 
 // smallServer serves the calls of the platform and of this VM's target.
@@ -96,13 +99,13 @@
 		if !missing || !ok {
 			continue
 		}
-		n.probeTarget(ctx, service.HealthPath, state)
+		n.probeTarget(ctx, service, state)
 	}
 	return nil
 }
 
-func (n *Node) probeTarget(ctx context.Context, path string, state sdinstance.State) {
-	request := &sdhttp.Request{Method: http.MethodGet, Host: n.settings.TargetAddress, Target: path, Header: http.Header{}}
+func (n *Node) probeTarget(ctx context.Context, service savorydeal.ServiceSpec, state sdinstance.State) {
+	request := &sdhttp.Request{Method: http.MethodGet, Host: n.settings.TargetAddress, Target: service.HealthPath, Header: http.Header{}}
 	answer, err := n.target.pool.Do(ctx, request, time.Now().Add(healthTimeout), true, anyAnswer)
 	if err != nil {
 		return
@@ -114,7 +117,7 @@
 		case answer.Status != http.StatusOK:
 		case identity == state.Beat.Identity && c.tracker.Back(now):
 			n.log.Info("target is back", "identity", identity)
-		case c.tracker.Found(now, identity, guessedSlots):
+		case c.tracker.Found(now, identity, max(leastSlots, service.MaxConnections/connectionsPerSlot)):
 			n.log.Info("target found by its health check", "identity", identity)
 		}
 		n.publishTarget(c)
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -62,6 +62,8 @@
 	others   *sdhttp.Server
 	metrics  *metrics
 	stopping atomic.Bool
+	aborted  chan struct{}
+	abort    sync.Once
 	started  time.Time
 }
 
@@ -83,6 +85,7 @@
 		random:     rand.New(rand.NewPCG(seed, uint64(now.UnixNano()))),
 		metrics:    newMetrics(),
 		started:    now,
+		aborted:    make(chan struct{}),
 	}
 	n.log = newJournal(log, clock, n.metrics)
 	n.balancer = sdbalance.New(settings.DataCentre, n.newRandom())
@@ -222,10 +225,17 @@
 	n.log.Info("node started", "service", n.settings.Service, "data_centre", n.settings.DataCentre,
 		"caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress, "target_address", n.settings.TargetAddress)
 	err = group.Run()
+	n.callers.Close()
+	n.others.Close()
 	n.log.Info("node stopped", "error", err)
 	return err
 }
 
+// Abort ends the node at once, as a kill does.
+func (n *Node) Abort() {
+	n.abort.Do(func() { close(n.aborted) })
+}
+
 // runReload notes that the settings file has changed. A node's addresses and
 // service hold for its life: nothing of them may change under its target.
 func (n *Node) runReload(ctx context.Context, reload <-chan os.Signal) error {
--- a/internal/sdsidecar/stop.go
+++ b/internal/sdsidecar/stop.go
@@ -28,6 +28,8 @@
 	case <-ctx.Done():
 	case <-background.Done():
 		return nil
+	case <-n.aborted:
+		return nil
 	}
 	began := time.Now()
 	n.log.Info("stop begun", "active", n.callers.Active(), "serving_others", n.others.Active())
