--- a/internal/sdattempt/attempt.go
+++ b/internal/sdattempt/attempt.go
@@ -29,6 +29,8 @@
 	StepPass Step = "pass"
 	// StepAgain tries one more target.
 	StepAgain Step = "again"
+	// StepSame tries once more one of the targets that were reached.
+	StepSame Step = "same"
 	// StepRefuse answers that the request has not run.
 	StepRefuse Step = "refuse"
 	// StepFail answers that the request may have run.
@@ -39,11 +41,16 @@
 // the call away: each costs time and says that the service is short of room.
 const maxRedirects = 3
 
+// maxArrivals bounds how often one request comes to targets, those that reject
+// it counted.
+const maxArrivals = 4
+
 // Attempts are the tries of one request. It is used by one goroutine.
 type Attempts struct {
 	repeatable bool
 	maxTargets int
-	reached    int
+	arrivals   int
+	targets    int
 	redirects  int
 	mayHaveRun bool
 }
@@ -53,12 +60,7 @@
 	return &Attempts{repeatable: repeatable, maxTargets: maxTargets}
 }
 
-// Repeats is the number of targets reached beyond the first.
-func (a *Attempts) Repeats() int {
-	return max(0, a.reached-1)
-}
-
-// Next decides what follows a try. spend takes one more target from the shared
+// Next decides what follows a try. spend takes one more arrival from the shared
 // budget; it is asked only if all else allows a further try. last is true if
 // no time or no caller is left.
 func (a *Attempts) Next(result Result, last bool, spend func() bool) Step {
@@ -75,11 +77,15 @@
 		a.mayHaveRun = true
 	case ResultRejected:
 	}
-	a.reached++
-	again := !last && (a.repeatable || !a.mayHaveRun) && a.reached < a.maxTargets && spend()
+	a.arrivals++
+	a.targets = min(a.targets+1, a.maxTargets)
+	mayRepeat := !last && (a.repeatable || !a.mayHaveRun) && a.arrivals < maxArrivals
+	more := a.targets < a.maxTargets
 	switch {
-	case again:
+	case mayRepeat && more && spend():
 		return StepAgain
+	case mayRepeat && !more && result == ResultRejected && spend():
+		return StepSame
 	case result == ResultFailed:
 		return StepPass
 	}
--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -138,6 +138,17 @@
 	return len(b.services[service])
 }
 
+// Again picks one of the targets that were tried and counts the call as sent.
+func (b *Balancer) Again(now time.Time, service, route string, tried []savorydeal.NodeID) (savorydeal.Member, bool) {
+	var open []*target
+	for _, t := range b.services[service] {
+		if slices.Contains(tried, t.member.Node) && !now.Before(t.until) {
+			open = append(open, t)
+		}
+	}
+	return b.pick(now, route, open)
+}
+
 // Choose picks a target that is not in tried and counts the call as sent.
 func (b *Balancer) Choose(now time.Time, service, route string, tried []savorydeal.NodeID) (savorydeal.Member, bool) {
 	all := b.services[service]
@@ -155,6 +166,11 @@
 			}
 		}
 	}
+	return b.pick(now, route, open)
+}
+
+// pick draws a few targets and picks the one with the least cost.
+func (b *Balancer) pick(now time.Time, route string, open []*target) (savorydeal.Member, bool) {
 	if len(open) == 0 {
 		return savorydeal.Member{}, false
 	}
--- a/internal/sdbudget/budget.go
+++ b/internal/sdbudget/budget.go
@@ -20,7 +20,7 @@
 	slots = 10
 	// safety is the part of the budget that nodes spend. The rest is for what
 	// they cannot count: calls of repeated runs and requests that moved.
-	safety = 0.6
+	safety = 0.75
 )
 
 type counter struct {
@@ -67,7 +67,7 @@
 	return i
 }
 
-// Request counts a request of a caller for a service.
+// Request counts a request for a service, of a caller or of another target.
 func (b *Budget) Request(now time.Time, service string) {
 	part := b.part(now)
 	c := b.counter(service)
@@ -75,11 +75,13 @@
 }
 
 // Spend takes a repeat from the budget of each service by its cost. It takes
-// nothing and reports false if one of them has too little left.
-func (b *Budget) Spend(now time.Time, costs map[string]float64) bool {
+// nothing and reports false if one of them has too little left. reserve is the
+// share of the budget, from 0 to 1, that is kept for more important requests.
+func (b *Budget) Spend(now time.Time, costs map[string]float64, reserve float64) bool {
 	part := b.part(now)
 	for service, cost := range costs {
-		if b.left(part, service) < cost {
+		allowed, spent := b.sums(part, service)
+		if allowed*(1-reserve)-spent < cost {
 			return false
 		}
 	}
@@ -90,7 +92,8 @@
 	return true
 }
 
-func (b *Budget) left(part int64, service string) float64 {
+// sums returns what the node may spend in the window and what it has spent.
+func (b *Budget) sums(part int64, service string) (allowed, used float64) {
 	c := b.counter(service)
 	base, spent := 0.0, 0.0
 	for i := range slots {
@@ -99,10 +102,11 @@
 			spent += c.spent[i]
 		}
 	}
-	return safety*(b.limits.Ratio*base+b.limits.Least/float64(b.nodes)) - spent
+	return safety * (b.limits.Ratio*base + b.limits.Least/float64(b.nodes)), spent
 }
 
 // Left is what the node may still spend for a service.
 func (b *Budget) Left(now time.Time, service string) float64 {
-	return b.left(b.part(now), service)
+	allowed, spent := b.sums(b.part(now), service)
+	return allowed - spent
 }
--- a/internal/sddoor/door.go
+++ b/internal/sddoor/door.go
@@ -131,6 +131,16 @@
 	return levels
 }
 
+// Place is the place of a priority among those in use: 0 for the most important,
+// 1 for the least.
+func (d *Door) Place(priority int) float64 {
+	if len(d.ranks) < 2 {
+		return 0
+	}
+	place, _ := slices.BinarySearch(d.ranks, priority)
+	return min(1, float64(place)/float64(len(d.ranks)-1))
+}
+
 // Refuses reports whether a new request is refused, and by which service. at is
 // uniform in [0, 1) and decides among requests of one rank.
 func (d *Door) Refuses(priority int, first string, calls map[string]float64, at float64) (string, bool) {
--- a/internal/sdsidecar/pressure.go
+++ b/internal/sdsidecar/pressure.go
@@ -49,12 +49,13 @@
 // refusedAtDoor refuses a whole new request that a service on its way has no
 // room for. Calls of a run that has begun pass.
 func (n *Node) refusedAtDoor(r *request) *sdhttp.Response {
-	if r.parent != nil {
-		return nil
-	}
 	n.mu.Lock()
 	now := n.clock.Now()
 	n.budget.Request(now, r.service)
+	if r.parent != nil {
+		n.mu.Unlock()
+		return nil
+	}
 	service, refused := n.door.Refuses(r.rank, r.service, n.graph.Calls(now, r.route.Name), n.random.Float64())
 	level := n.door.Level(service)
 	n.mu.Unlock()
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -20,18 +20,19 @@
 	patienceShare = 0.5
 	// leastTry is the least time left with which another try makes sense.
 	leastTry = 20 * time.Millisecond
+	// rankReserve is the share of the budget that the least important rank
+	// leaves to all others.
+	rankReserve = 0.7
 )
 
 // carry tries targets until one has answered or no further try is allowed.
 func (n *Node) carry(ctx context.Context, r *request) *sdhttp.Response {
 	attempts := sdattempt.New(r.route.Kind.Repeatable(), r.route.MaxTargets)
-	var tried []savorydeal.NodeID
-	reason := reasonDeadline
+	var tried, reached []savorydeal.NodeID
+	step, reason := sdattempt.StepAgain, reasonDeadline
 	for {
 		left := time.Until(r.deadline)
-		n.mu.Lock()
-		member, ok := n.balancer.Choose(n.clock.Now(), r.service, r.route.Name, tried)
-		n.mu.Unlock()
+		member, ok := n.choose(r, step, tried, reached)
 		if left <= 0 || !ok {
 			if !ok && len(tried) == 0 {
 				reason = reasonNoTarget
@@ -41,13 +42,16 @@
 		response, reply := n.try(ctx, r, member, left)
 		n.observe(ctx, r, member, response, reply)
 		tried = append(tried, member.Node)
+		if reply.Reached {
+			reached = append(reached, member.Node)
+		}
 		n.learn(r, response, reply)
 		reason = reply.Reason
 		last := ctx.Err() != nil || time.Until(r.deadline) < leastTry
-		switch step := attempts.Next(resultOf(response, reply), last, func() bool { return n.spend(r) }); step {
+		switch step = attempts.Next(resultOf(response, reply), last, func() bool { return n.spend(r) }); step {
 		case sdattempt.StepPass:
 			return response
-		case sdattempt.StepAgain:
+		case sdattempt.StepAgain, sdattempt.StepSame:
 			if response != nil {
 				closeRest(response)
 			}
@@ -59,6 +63,16 @@
 	}
 }
 
+// choose picks the target of the next try.
+func (n *Node) choose(r *request, step sdattempt.Step, tried, reached []savorydeal.NodeID) (savorydeal.Member, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if step == sdattempt.StepSame {
+		return n.balancer.Again(n.clock.Now(), r.service, r.route.Name, reached)
+	}
+	return n.balancer.Choose(n.clock.Now(), r.service, r.route.Name, tried)
+}
+
 func resultOf(response *sdhttp.Response, reply sdinner.Reply) sdattempt.Result {
 	switch {
 	case reply.Verdict == sdinner.VerdictRan && response.Status < http.StatusInternalServerError:
@@ -84,7 +98,8 @@
 	return n.fail(r, http.StatusBadGateway, reason)
 }
 
-// spend takes one more target from the shared budget.
+// spend takes one more arrival from the shared budget, of which each rank leaves
+// a part to the more important ones.
 func (n *Node) spend(r *request) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -94,7 +109,7 @@
 		costs = make(map[string]float64, 1)
 	}
 	costs[r.service]++
-	return n.budget.Spend(now, costs)
+	return n.budget.Spend(now, costs, rankReserve*n.door.Place(r.rank))
 }
 
 // try sends the request to one target.
