--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,15 @@
 SEED ?= 1
 FOR ?= 5m
 
-.PHONY: demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden soak fuzz
+.PHONY: demo platform-demo test race build fmt fmt-check lint lint-tools generate generate-tools generate-check measure golden soak fuzz
 
 demo:
 	go run ./cmd/savorydeal-bench demo
 
+# A quiet day of the users' platform without their bench.
+platform-demo:
+	go run ./cmd/savorydeal-bench platform-demo
+
 test:
 	go test ./...
 
--- a/cmd/savorydeal-bench/main.go
+++ b/cmd/savorydeal-bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdbenchtruth"
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sddemo"
+	"github.com/savorydeal/savorydeal/internal/sdplatformdemo"
 	"github.com/savorydeal/savorydeal/internal/sdsoak"
 )
 
@@ -21,6 +22,7 @@
 	}
 	os.Exit(sdcommand.RunBench(os.Args[1:], []sdcommand.Measure{
 		{Name: "demo", Help: "the whole path once, with its answers shown", Run: sddemo.Run},
+		{Name: "platform-demo", Help: "a small quiet day of the users' platform, nodes as processes", Run: sdplatformdemo.Run},
 		{Name: "path", Help: "time that the path of nodes adds to a call", Run: sdbenchpath.Run},
 		{Name: "truth", Help: "what callers are told against what targets did, under faults", Run: sdbenchtruth.Run},
 		{Name: "fleet", Help: "membership, configuration in force and what they cost a node", Run: sdbenchfleet.Run},
--- a/internal/sdcommand/bench.go
+++ b/internal/sdcommand/bench.go
@@ -21,12 +21,16 @@
 
 const defaultSeed = 1
 
-// RunBench runs a measure and returns the exit code. The hidden subcommand
-// "node" runs a node, so that a measure can start nodes as processes.
+// RunBench runs a measure and returns the exit code. The hidden subcommands
+// "node" and "sidecar" run a node, so that a measure can start nodes as
+// processes.
 func RunBench(arguments []string, measures []Measure, stdout, stderr io.Writer) int {
 	if len(arguments) > 0 && arguments[0] == "node" {
 		return RunNode(arguments[1:], os.LookupEnv, stderr)
 	}
+	if len(arguments) == 1 && arguments[0] == "sidecar" {
+		return RunSidecar(os.LookupEnv, stdout, stderr)
+	}
 	parser := flaggy.NewParser("savorydeal-bench")
 	parser.Description = "measure the system with stand-ins for platform, targets and callers"
 	parser.Version = Version
