--- a/internal/sdbudget/budget.go
+++ b/internal/sdbudget/budget.go
@@ -41,6 +41,15 @@
 	return &Budget{limits: limits, nodes: 1, counters: make(map[string]*counter)}
 }
 
+// SetLimits replaces the bounds. What was counted stays counted, unless the
+// window has another length.
+func (b *Budget) SetLimits(limits Limits) {
+	if limits.Window != b.limits.Window {
+		b.counters = make(map[string]*counter)
+	}
+	b.limits = limits
+}
+
 // SetNodes sets the number of nodes that share the budget.
 func (b *Budget) SetNodes(nodes int) {
 	b.nodes = max(1, nodes)
--- a/internal/sdcommand/sidecar.go
+++ b/internal/sdcommand/sidecar.go
@@ -1,12 +1,17 @@
 package sdcommand
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal/internal/sdclock"
 	"github.com/savorydeal/savorydeal/internal/sdsidecar"
@@ -36,8 +41,6 @@
 	}
 	ctx, stop := stopSignals(stderr)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	log := NewLogger("savorydeal-node", level, stdout).With("node", settings.Node)
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
@@ -45,7 +48,7 @@
 	}
 	node, err := sdsidecar.New(settings, sdclock.System{}, log)
 	if err == nil {
-		err = node.Run(ctx, reload)
+		err = node.Run(ctx, watchSettings(ctx, path, log))
 	}
 	if err != nil {
 		log.Error("node failed", "error", err)
@@ -53,3 +56,44 @@
 	}
 	return ExitOK
 }
+
+// settingsPoll is the time between two looks at the settings file, which may
+// change without a signal.
+const settingsPoll = 2 * time.Second
+
+// watchSettings reads the settings file again when it has changed, or at a
+// signal. One that cannot be read is reported, and the last one holds.
+func watchSettings(ctx context.Context, path string, log hclog.Logger) <-chan platform.Settings {
+	changes := make(chan platform.Settings)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		last, _ := os.ReadFile(path) // ReadSettings has just read it; a failure shows at the next poll
+		for {
+			signalled := false
+			select {
+			case <-signals:
+				signalled = true
+			case <-time.After(settingsPoll):
+			case <-ctx.Done():
+				return
+			}
+			text, err := os.ReadFile(path)
+			if err == nil && !signalled && bytes.Equal(text, last) {
+				continue
+			}
+			last = text
+			settings, err := platform.ReadSettings(path)
+			if err != nil {
+				log.Warn("changed settings refused; the last ones hold", "error", err)
+				continue
+			}
+			select {
+			case changes <- settings:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return changes
+}
--- /dev/null
+++ b/internal/sdcommand/sidecar_test.go
@@ -0,0 +1,61 @@
+package sdcommand
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal/platform"
+)
+
+func settingsText(ratio string) []byte {
+	return []byte(`{"nodeId":"n","ip":"127.0.0.1","zone":"z","service":"s","appAddr":"127.0.0.1:1",
+	"listenAddrs":{"outbound":"127.0.0.1:2","ready":"127.0.0.1:3","control":"127.0.0.1:4"},
+	"internalPortRange":[5,6],"platform":{"address":"127.0.0.1:7"},"bounds":{"retryBudgetRatio":` + ratio + `},"unknown":true}`)
+}
+
+// A settings file that changes without a signal is read again; one that cannot
+// be read changes nothing, and the next good one is taken.
+func TestSettingsFileChanges(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "boot.json")
+	write := func(text []byte) { is.NoErr(os.WriteFile(path, text, 0o600)) }
+	write(settingsText("0.2"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	changes := watchSettings(ctx, path, hclog.NewNullLogger())
+	time.Sleep(50 * time.Millisecond)
+	write(settingsText(`"cut sh`))
+	select {
+	case <-changes:
+		t.Fatal("settings that cannot be read were taken")
+	case <-time.After(settingsPoll + time.Second):
+	}
+	write(settingsText("0.1"))
+	select {
+	case settings := <-changes:
+		is.Equal(settings.Bounds.RetryRatio, 0.1)
+	case <-time.After(2 * settingsPoll):
+		t.Fatal("changed settings were not read")
+	}
+}
+
+// Without a settings file, or with one that lacks fields, the node does not
+// start and says why.
+func TestSidecarNeedsItsSettings(t *testing.T) {
+	is := is.New(t)
+	var out, errs bytes.Buffer
+	is.Equal(RunSidecar(func(string) (string, bool) { return "", false }, &out, &errs), ExitUsage)
+	is.True(bytes.Contains(errs.Bytes(), []byte(platform.SettingsVariable)))
+	path := filepath.Join(t.TempDir(), "boot.json")
+	is.NoErr(os.WriteFile(path, []byte(`{}`), 0o600))
+	errs.Reset()
+	is.Equal(RunSidecar(func(string) (string, bool) { return path, true }, &out, &errs), ExitUsage)
+	is.True(bytes.Contains(errs.Bytes(), []byte("appAddr is missing")))
+}
--- a/internal/sdestate/estate.go
+++ b/internal/sdestate/estate.go
@@ -268,17 +268,28 @@
 
 // knowsAll reports whether a node's view holds all nodes with their targets.
 func (e *Estate) knowsAll(ctx context.Context, vm *VM) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/metrics", vm.Address, portMetrics), nil)
+	text, err := e.get(ctx, vm, "/metrics")
+	return err == nil && strings.Contains(text, fmt.Sprintf("\nsavorydeal_targets %d\n", len(e.VMs)))
+}
+
+// State returns the state dump of the VM's node.
+func (e *Estate) State(ctx context.Context, vm *VM) (string, error) {
+	return e.get(ctx, vm, "/state")
+}
+
+// get reads a page of the node's metrics address.
+func (e *Estate) get(ctx context.Context, vm *VM, path string) (string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", vm.Address, portMetrics, path), nil)
 	if err != nil {
-		return false
+		return "", err
 	}
 	answer, err := e.client.Do(request)
 	if err != nil {
-		return false
+		return "", err
 	}
 	defer answer.Body.Close()
 	text, err := io.ReadAll(answer.Body)
-	return err == nil && strings.Contains(string(text), fmt.Sprintf("\nsavorydeal_targets %d\n", len(e.VMs)))
+	return string(text), err
 }
 
 func (e *Estate) served(ctx context.Context, vm *VM) bool {
--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -305,3 +305,14 @@
 		is.Equal(answer.Status, http.StatusOK)
 	}
 }
+
+// The state dump tells what decisions use.
+func TestStateDump(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	text, err := estate.State(ctx, estate.VMs[0])
+	is.NoErr(err)
+	for _, part := range []string{`"version": 12`, `"state": "ready"`, `"door_level"`, `"budget_left"`, `"members"`, `"limit": 18`} {
+		is.True(strings.Contains(text, part))
+	}
+}
--- a/internal/sdsidecar/announce.go
+++ b/internal/sdsidecar/announce.go
@@ -42,6 +42,10 @@
 // handleAnnounce takes the announcements of this VM's target. The gate is set
 // before the target has its answer.
 func (n *Node) handleAnnounce(ctx context.Context, request *sdhttp.Request) *sdhttp.Response {
+	if request.Target == membersPath {
+		// The platform names nodes to join through by this address.
+		return n.answerPeer(ctx, request)
+	}
 	identity, ok := strings.CutPrefix(request.Target, platform.BeatPrefix)
 	identity, _, _ = strings.Cut(identity, "?")
 	if !ok || identity == "" {
--- /dev/null
+++ b/internal/sdsidecar/dump.go
@@ -0,0 +1,76 @@
+package sdsidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/savorydeal/savorydeal/internal/sdhttp"
+)
+
+// Paths of the metrics address.
+const (
+	metricsPath = "/metrics"
+	statePath   = "/state"
+)
+
+// handleMetrics answers at the metrics address: metrics, and the state of the
+// node's decisions.
+func (n *Node) handleMetrics(ctx context.Context, request *sdhttp.Request) *sdhttp.Response {
+	switch request.Target {
+	case metricsPath:
+		return n.writeMetrics()
+	case statePath:
+		return n.writeState(ctx)
+	}
+	return &sdhttp.Response{Status: http.StatusNotFound}
+}
+
+// writeState is the dump of what the node's decisions use.
+func (n *Node) writeState(ctx context.Context) *sdhttp.Response {
+	now := n.clock.Now()
+	state := map[string]any{"node": n.settings.Node, "generation": n.generation, "stopping": n.stopping.Load(), "watch_rank": n.watchRank.Load()}
+	err := n.do(ctx, func(c *control) {
+		target := c.tracker.State()
+		state["target"] = map[string]any{
+			"state": target.Target, "identity": target.Beat.Identity, "started": target.Beat.Started, "sequence": target.Beat.Sequence,
+			"slots": target.Beat.Slots,
+		}
+		state["config"] = map[string]any{
+			"version": c.config.Version, "routes": len(c.config.Routes), "confirmed_ago_s": now.Sub(c.confirmedAt).Seconds(),
+		}
+		members := make([]map[string]any, 0, len(c.members))
+		for _, member := range c.members {
+			members = append(members, map[string]any{
+				"node": member.Node, "state": member.State, "target": member.TargetState, "service": member.Service,
+				"data_centre": member.DataCentre, "generation": member.Generation, "slots": member.Slots,
+			})
+		}
+		state["members"] = members
+	})
+	if err != nil {
+		return &sdhttp.Response{Status: http.StatusServiceUnavailable}
+	}
+	n.mu.Lock()
+	services := make(map[string]any)
+	if table := n.routes.Load(); table != nil {
+		for _, service := range table.Config().Services {
+			load, _ := n.door.Load(now, service.Name)
+			services[service.Name] = map[string]any{
+				"load": load, "door_level": n.door.Level(service.Name), "budget_left": n.budget.Left(now, service.Name),
+			}
+		}
+	}
+	n.mu.Unlock()
+	state["services"] = services
+	n.target.mu.Lock()
+	load := n.target.load()
+	n.target.mu.Unlock()
+	state["queue"] = map[string]any{"running": load.Running, "waiting": load.Queued, "limit": load.Limit}
+	text, err := json.MarshalIndent(state, "", "  ")
+	if err != nil {
+		n.log.Error("state not written", "error", err)
+		return &sdhttp.Response{Status: http.StatusInternalServerError}
+	}
+	return &sdhttp.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: append(text, '\n')}
+}
--- a/internal/sdsidecar/join.go
+++ b/internal/sdsidecar/join.go
@@ -217,7 +217,7 @@
 }
 
 func (n *Node) meetingPoints(objects []savorydeal.Object) []string {
-	var points []string
+	points := slices.Clone(n.changeable.Load().meetingPoints)
 	for _, object := range objects {
 		address, err := strconv.Unquote(string(object.Value))
 		if err != nil || address == n.settings.PeerAddress {
--- a/internal/sdsidecar/metrics.go
+++ b/internal/sdsidecar/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -83,11 +82,8 @@
 	gauge("callers_active", "Requests of callers under way.", func() float64 { return float64(n.callers.Active()) })
 }
 
-// handleMetrics writes the metrics as text.
-func (n *Node) handleMetrics(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
-	if request.Target != "/metrics" {
-		return &sdhttp.Response{Status: http.StatusNotFound}
-	}
+// writeMetrics writes the metrics as text.
+func (n *Node) writeMetrics() *sdhttp.Response {
 	families, err := n.metrics.registry.Gather()
 	if err != nil {
 		n.log.Warn("metrics not gathered", "error", err)
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +30,9 @@
 
 // Node is one process beside a target.
 type Node struct {
-	settings   platform.Settings
+	settings platform.Settings
+	// changeable holds the settings that may change while the node runs.
+	changeable atomic.Pointer[changeable]
 	edge       savorydeal.EdgeHeaders
 	clock      savorydeal.Clock
 	log        *journal
@@ -87,11 +88,10 @@
 		started:    now,
 		aborted:    make(chan struct{}),
 	}
+	n.changeable.Store(changeableOf(settings))
 	n.log = newJournal(log, clock, n.metrics)
 	n.balancer = sdbalance.New(settings.DataCentre, n.newRandom())
-	n.budget = sdbudget.New(sdbudget.Limits{
-		Ratio: settings.Bounds.RetryRatio, Window: settings.Bounds.BudgetWindow, Least: settings.Bounds.MinRetries,
-	})
+	n.budget = sdbudget.New(budgetLimits(settings.Bounds))
 	n.graph = sdgraph.New()
 	n.door = sddoor.New()
 	n.control = n.newControl()
@@ -190,8 +190,9 @@
 	return l, nil
 }
 
-// Run serves until ctx ends and then stops gracefully.
-func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) error {
+// Run serves until ctx ends and then stops gracefully. changes brings settings
+// that have changed while the node runs; it may be nil.
+func (n *Node) Run(ctx context.Context, changes <-chan platform.Settings) error {
 	l, err := n.listen()
 	if err != nil {
 		return err
@@ -216,7 +217,7 @@
 	add(n.runHousekeeping)
 	add(n.runDoor)
 	add(n.runProbes)
-	add(func(ctx context.Context) error { return n.runReload(ctx, reload) })
+	add(func(ctx context.Context) error { return n.runReload(ctx, changes) })
 	serve(l.callers, n.callers.Serve)
 	serve(l.peers, n.others.Serve)
 	serve(l.ready, n.smallServer(n.handleReady).Serve)
@@ -236,16 +237,3 @@
 func (n *Node) Abort() {
 	n.abort.Do(func() { close(n.aborted) })
 }
-
-// runReload notes that the settings file has changed. A node's addresses and
-// service hold for its life: nothing of them may change under its target.
-func (n *Node) runReload(ctx context.Context, reload <-chan os.Signal) error {
-	for {
-		select {
-		case <-reload:
-			n.log.Info("settings reloaded", "changed", false)
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
--- /dev/null
+++ b/internal/sdsidecar/node_test.go
@@ -0,0 +1,108 @@
+package sdsidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/platform"
+)
+
+func testNode(t *testing.T) *Node {
+	t.Helper()
+	node, err := New(platform.Settings{
+		Node: "n", Service: "s", TargetAddress: "127.0.0.1:1", DataCentre: "z", PeerAddress: "127.0.0.1:2",
+		Bounds: platform.Bounds{RetryRatio: 0.2, BudgetWindow: 10 * time.Second, MinRetries: 50, Grace: time.Second},
+	}, sdclock.System{}, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return node
+}
+
+// Changed bounds are in force at once; addresses hold for the node's life.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	node := testNode(t)
+	now := node.clock.Now()
+	before := node.budget.Left(now, "s")
+	changed := node.settings
+	changed.Bounds.MinRetries = 500
+	changed.MeetingPoints = []string{"127.0.0.9:1"}
+	changed.TargetAddress = "127.0.0.1:99"
+	node.reload(changed)
+	is.True(node.budget.Left(now, "s") > before)
+	is.Equal(node.meetingPoints(nil), []string{"127.0.0.9:1"})
+	is.Equal(node.settings.TargetAddress, "127.0.0.1:1")
+}
+
+// A configuration that is older, or cannot be read, changes nothing.
+func TestConfigNeverOlder(t *testing.T) {
+	is := is.New(t)
+	node := testNode(t)
+	text := func(version string) []byte {
+		return []byte(`{"version":"` + version + `","services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutS":1,"idleTimeoutS":1},"virtualHosts":[]}`)
+	}
+	for _, c := range []struct {
+		text []byte
+		want uint64
+	}{
+		{text("0000000c"), 12}, {text("00000007"), 12}, {[]byte("{"), 12}, {text("zz"), 12}, {text("0000000d"), 13}, {text("0000000c"), 13},
+	} {
+		node.applyConfig(&node.control, c.text, "test")
+		is.Equal(node.routes.Load().Config().Version, c.want)
+		is.Equal(node.control.config.Version, c.want)
+	}
+}
+
+// What a datagram tells of the configuration survives its encoding, and an age
+// beyond the field's range reads as very old, never as young.
+func TestConfigMark(t *testing.T) {
+	is := is.New(t)
+	for _, mark := range []configMark{{}, {version: 12, age: 250 * time.Millisecond}, {version: 0xffffffff, age: time.Minute}} {
+		is.Equal(decodeMark(mark.encode()), mark)
+	}
+	old := decodeMark(configMark{version: 3, age: 1000 * time.Hour}.encode())
+	is.Equal(old.version, uint64(3))
+	is.True(old.age > 50*time.Minute)
+}
+
+// Every data centre has watchers, and only so many.
+func TestWatchersAreFew(t *testing.T) {
+	is := is.New(t)
+	var members []savorydeal.Member
+	for i := range 40 {
+		members = append(members, savorydeal.Member{
+			Node: savorydeal.NodeID(rune('a' + i)), State: savorydeal.MemberAlive, DataCentre: string(rune('x' + i%2)),
+		})
+	}
+	watchers := make(map[string]int)
+	for _, member := range members {
+		if watchRank(members, member) < watchersPerDataCentre {
+			watchers[member.DataCentre]++
+		}
+	}
+	is.Equal(watchers, map[string]int{"x": watchersPerDataCentre, "y": watchersPerDataCentre})
+}
+
+// A call belongs to the run whose id it extends, and to none else.
+func TestParent(t *testing.T) {
+	is := is.New(t)
+	var table runTable
+	table.init()
+	table.begin("a.1", &runInfo{rank: 3})
+	parent, ok := table.parent("a.1.ff")
+	is.True(ok)
+	is.Equal(parent.rank, 3)
+	for _, id := range []string{"a.1", "a", "", ".", "a.1ff", "b.1.ff"} {
+		_, ok := table.parent(id)
+		is.True(!ok)
+	}
+	table.end("a.1")
+	_, ok = table.parent("a.1.ff")
+	is.True(!ok)
+}
--- /dev/null
+++ b/internal/sdsidecar/reload.go
@@ -0,0 +1,48 @@
+package sdsidecar
+
+import (
+	"context"
+	"reflect"
+
+	"github.com/savorydeal/savorydeal/internal/sdbudget"
+	"github.com/savorydeal/savorydeal/platform"
+)
+
+// changeable are the settings that may change while the node runs. Addresses
+// and the service hold for its life: its target relies on them.
+type changeable struct {
+	bounds        platform.Bounds
+	meetingPoints []string
+}
+
+func changeableOf(settings platform.Settings) *changeable {
+	return &changeable{bounds: settings.Bounds, meetingPoints: settings.MeetingPoints}
+}
+
+func budgetLimits(bounds platform.Bounds) sdbudget.Limits {
+	return sdbudget.Limits{Ratio: bounds.RetryRatio, Window: bounds.BudgetWindow, Least: bounds.MinRetries}
+}
+
+// runReload puts changed settings in force.
+func (n *Node) runReload(ctx context.Context, changes <-chan platform.Settings) error {
+	for {
+		select {
+		case settings := <-changes:
+			n.reload(settings)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (n *Node) reload(settings platform.Settings) {
+	next := changeableOf(settings)
+	changed := !reflect.DeepEqual(next, n.changeable.Load())
+	if changed {
+		n.changeable.Store(next)
+		n.mu.Lock()
+		n.budget.SetLimits(budgetLimits(next.bounds))
+		n.mu.Unlock()
+	}
+	n.log.Info("settings read again", "changed", changed, "meeting_points", len(next.meetingPoints), "bounds", next.bounds)
+}
--- a/internal/sdsidecar/stop.go
+++ b/internal/sdsidecar/stop.go
@@ -39,7 +39,7 @@
 		n.publishTarget(c)
 	})
 	n.callers.CloseSoon()
-	end := began.Add(n.settings.Bounds.Grace - killMargin)
+	end := began.Add(n.changeable.Load().bounds.Grace - killMargin)
 	closed := false
 	for time.Now().Before(end) {
 		time.Sleep(stopPoll)
