--- a/internal/sdgraph/graph.go
+++ b/internal/sdgraph/graph.go
@@ -36,9 +36,10 @@
 	return &Graph{routes: make(map[string]*knowledge)}
 }
 
-// Learn takes the calls that one whole run of a route has made, by service and
-// with the calls below them.
-func (g *Graph) Learn(now time.Time, route string, calls map[string]float64) {
+// Learn takes the calls that one run of a route has made, by service and with
+// the calls below them. A run that is not whole may have made only some of its
+// calls: it can only raise what is known.
+func (g *Graph) Learn(now time.Time, route string, calls map[string]float64, whole bool) {
 	known := g.routes[route]
 	if known == nil || now.Sub(known.at) > forgetAfter {
 		g.routes[route] = &knowledge{calls: maps.Clone(calls), samples: 1, at: now}
@@ -56,6 +57,9 @@
 		}
 	}
 	for service, mean := range known.calls {
+		if !whole && calls[service] <= mean {
+			continue
+		}
 		mean += weight * (calls[service] - mean)
 		if mean < leastCalls {
 			delete(known.calls, service)
--- a/internal/sdsidecar/pressure.go
+++ b/internal/sdsidecar/pressure.go
@@ -77,9 +77,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
-	// A run that failed may have made only some of its calls.
-	if reply.Verdict == sdinner.VerdictRan && response.Status < http.StatusInternalServerError {
-		n.graph.Learn(now, r.route.Name, reply.Below)
+	if reply.Verdict == sdinner.VerdictRan {
+		n.graph.Learn(now, r.route.Name, reply.Below, response.Status < http.StatusInternalServerError)
 	}
 	if load, ok := n.balancer.Load(now, r.service); ok {
 		n.door.Report(now, r.service, load)
