A request without a target is held for a moment; a new node looks for its target at once

Ruled out: the door (open at that time) and the configuration (in force after 7 ms). A request without any target now waits up to a tenth of its objective, at most 150 ms. TestNoRefusalAfterARestart; its first failure was the old node's readiness server, which outlived it within the test process: all servers now end with the node.

--- a/internal/sddoor/door_test.go
+++ b/internal/sddoor/door_test.go
@@ -44,11 +44,10 @@
 	is.True(refused(d, 2, deep) > 0)
 	is.Equal(refused(d, 1, deep), 0)
 	is.Equal(refused(d, 2, nil), 0)
-	now = drive(d, now, 3, 8)
+	drive(d, now, 3, 8)
 	is.Equal(refused(d, 2, deep), 100)
 	is.True(refused(d, 1, deep) > 0)
 	is.Equal(refused(d, 0, deep), 0)
-	_ = now
 }
 
 // The door is open again two seconds after the load has gone, also if nothing
--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -189,10 +189,9 @@
 	leaving := estate.VMs[0]
 	is.NoErr(leaving.App.Leave(ctx))
 	left := time.Now()
-	for id, answer := range load(ctx, estate, "/sign/", "l", 150) {
+	for _, answer := range load(ctx, estate, "/sign/", "l", 150) {
 		is.NoErr(answer.Err)
 		is.Equal(answer.Status, http.StatusOK)
-		_ = id
 	}
 	for _, run := range estate.Ledger.Runs() {
 		is.True(run.Target != "i-"+leaving.Name || run.At.Before(left))
@@ -316,3 +315,21 @@
 		is.True(strings.Contains(text, part))
 	}
 }
+
+// A node that has just started again holds requests for the moment in which it
+// learns of targets, and refuses none of them.
+func TestNoRefusalAfterARestart(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	vm := estate.VMs[1]
+	is.NoErr(vm.KillNode())
+	is.NoErr(vm.StartNode())
+	for !vm.Ready(ctx) {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 20 {
+		answer := estate.Do(ctx, vm, sdestate.Request{ID: fmt.Sprintf("r%d", i), Path: "/sign/1"})
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status, http.StatusOK)
+	}
+}
--- a/internal/sdestate/process.go
+++ b/internal/sdestate/process.go
@@ -14,7 +14,8 @@
 type Process struct {
 	command *exec.Cmd
 	output  *os.File
-	exited  chan error
+	exited  chan struct{}
+	err     error
 }
 
 // StartProcess runs the VM's node as a process: the program with the arguments.
@@ -24,13 +25,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("log of %s: %w", vm.Name, err)
 	}
-	p := &Process{command: exec.Command(program, arguments...), output: output, exited: make(chan error, 1)}
+	p := &Process{command: exec.Command(program, arguments...), output: output, exited: make(chan struct{})}
 	p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+vm.SettingsPath)
 	p.command.Stdout, p.command.Stderr = output, output
 	if err := p.command.Start(); err != nil {
 		return nil, fmt.Errorf("start node of %s: %w", vm.Name, err)
 	}
-	go func() { p.exited <- p.command.Wait() }()
+	go func() {
+		p.err = p.command.Wait()
+		close(p.exited)
+	}()
 	return p, nil
 }
 
@@ -39,9 +43,9 @@
 	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	err := <-p.exited
+	<-p.exited
 	_ = p.output.Close()
-	return err
+	return p.err
 }
 
 // Kill ends the process at once.
--- a/internal/sdhttp/client_test.go
+++ b/internal/sdhttp/client_test.go
@@ -36,7 +36,7 @@
 				return
 			}
 			go func() {
-				defer conn.Close()
+				defer func() { _ = conn.Close() }()
 				reader := bufio.NewReader(conn)
 				for _, text := range script {
 					if _, err := http.ReadRequest(reader); err != nil {
@@ -52,9 +52,10 @@
 	return &sdhttp.Pool{Address: listener.Addr().String(), DialTimeout: patience, IdleTimeout: patience}
 }
 
-func do(pool *sdhttp.Pool, id string) (*sdhttp.Response, error) {
-	request := &sdhttp.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{idHeader: {id}}}
-	return pool.Do(context.Background(), request, time.Now().Add(500*time.Millisecond), false, ownID(id))
+// do sends the request with the id "a".
+func do(pool *sdhttp.Pool) (*sdhttp.Response, error) {
+	request := &sdhttp.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{idHeader: {"a"}}}
+	return pool.Do(context.Background(), request, time.Now().Add(500*time.Millisecond), false, ownID("a"))
 }
 
 func ok(id, body string) string {
@@ -81,7 +82,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			response, err := do(scripted(t, c.script...), "a")
+			response, err := do(scripted(t, c.script...))
 			if c.want == "" {
 				var failure *sdhttp.Failure
 				is.True(errors.As(err, &failure))
@@ -98,7 +99,7 @@
 func TestExtraBytesDoNotReachTheNextRequest(t *testing.T) {
 	is := is.New(t)
 	pool := scripted(t, ok("a", "one")+ok("b", "no"), ok("b", "two"))
-	response, err := do(pool, "a")
+	response, err := do(pool)
 	is.NoErr(err)
 	is.Equal(string(response.Body), "one")
 	is.Equal(pool.Open(), 0)
@@ -109,7 +110,7 @@
 	is := is.New(t)
 	pool := scripted(t, ok("a", "one"))
 	for range 3 {
-		response, err := do(pool, "a")
+		response, err := do(pool)
 		is.NoErr(err)
 		is.Equal(string(response.Body), "one")
 		time.Sleep(20 * time.Millisecond)
@@ -124,7 +125,7 @@
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
 	pool := &sdhttp.Pool{Address: address, DialTimeout: patience, IdleTimeout: patience}
-	_, err = do(pool, "a")
+	_, err = do(pool)
 	var failure *sdhttp.Failure
 	is.True(errors.As(err, &failure))
 	is.True(!failure.Sent)
@@ -157,7 +158,7 @@
 func TestKeepAliveTimeIsHonoured(t *testing.T) {
 	is := is.New(t)
 	pool := scripted(t, "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n", ok("a", "two"))
-	_, err := do(pool, "a")
+	_, err := do(pool)
 	is.NoErr(err)
 	pool.Expire(time.Now().Add(900 * time.Millisecond))
 	is.Equal(pool.Open(), 0)
--- a/internal/sdhttp/server.go
+++ b/internal/sdhttp/server.go
@@ -176,7 +176,7 @@
 func (c *serverConn) read() {
 	defer c.server.forget(c)
 	defer c.cancel()
-	defer c.conn.Close()
+	defer func() { _ = c.conn.Close() }()
 	for {
 		limits := c.server.Limits()
 		c.awaitRoom()
--- a/internal/sdsidecar/announce.go
+++ b/internal/sdsidecar/announce.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// targetPoll is the time between two looks at a target that is not there.
-	targetPoll = 100 * time.Millisecond
+	// targetPoll is the time between two looks at a target that is not there;
+	// targetPollFirst is the same in the first targetPollFirstFor of the node,
+	// when nothing runs yet.
+	targetPoll         = 100 * time.Millisecond
+	targetPollFirst    = 15 * time.Millisecond
+	targetPollFirstFor = time.Second
 	// healthTimeout bounds one health check.
 	healthTimeout = 500 * time.Millisecond
 	// leastSlots and connectionsPerSlot give the slots of a target that has not
@@ -24,11 +28,7 @@
 	connectionsPerSlot = 8
 )
 
-// smallServer serves the calls of the platform and of this VM's target.
-func (n *Node) smallServer(handler sdhttp.Handler) *sdhttp.Server {
-	return &sdhttp.Server{Handler: handler, Limits: peerLimits}
-}
-
+// handleReady answers the platform's question whether callers may come.
 func (n *Node) handleReady(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
 	if request.Target != platform.ReadinessPath {
 		return &sdhttp.Response{Status: http.StatusNotFound}
@@ -89,7 +89,11 @@
 // own start a node would else wait for the next announcement.
 func (n *Node) runTarget(ctx context.Context) error {
 	for ctx.Err() == nil {
-		n.sleep(ctx, targetPoll)
+		poll := targetPoll
+		if n.clock.Now().Sub(n.started) < targetPollFirstFor {
+			poll = targetPollFirst
+		}
+		n.sleep(ctx, poll)
 		table := n.routes.Load()
 		if table == nil {
 			continue
--- a/internal/sdsidecar/entry.go
+++ b/internal/sdsidecar/entry.go
@@ -45,6 +45,7 @@
 func (n *Node) handleCaller(ctx context.Context, received *sdhttp.Request) *sdhttp.Response {
 	table := n.routes.Load()
 	if table == nil {
+		n.log.Request("no configuration yet", "request", received.Header.Get(n.edge.RequestID))
 		return n.refusal(http.StatusServiceUnavailable, noConfigWait)
 	}
 	route, ok := table.Find(received.Host, received.Target)
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -220,15 +220,22 @@
 	add(func(ctx context.Context) error { return n.runReload(ctx, changes) })
 	serve(l.callers, n.callers.Serve)
 	serve(l.peers, n.others.Serve)
-	serve(l.ready, n.smallServer(n.handleReady).Serve)
-	serve(l.announce, n.smallServer(n.handleAnnounce).Serve)
-	serve(l.metrics, n.smallServer(n.handleMetrics).Serve)
+	servers := []*sdhttp.Server{n.callers, n.others}
+	for _, small := range []struct {
+		listener net.Listener
+		handler  sdhttp.Handler
+	}{{l.ready, n.handleReady}, {l.announce, n.handleAnnounce}, {l.metrics, n.handleMetrics}} {
+		server := &sdhttp.Server{Handler: small.handler, Limits: peerLimits}
+		servers = append(servers, server)
+		serve(small.listener, server.Serve)
+	}
 	group.Add(func() error { return n.waitAndStop(ctx, background, l) }, func(error) { cancel() })
 	n.log.Info("node started", "service", n.settings.Service, "data_centre", n.settings.DataCentre,
 		"caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress, "target_address", n.settings.TargetAddress)
 	err = group.Run()
-	n.callers.Close()
-	n.others.Close()
+	for _, server := range servers {
+		server.Close()
+	}
 	n.log.Info("node stopped", "error", err)
 	return err
 }
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -20,6 +20,12 @@
 	patienceShare = 0.5
 	// leastTry is the least time left with which another try makes sense.
 	leastTry = 20 * time.Millisecond
+	// targetWaitShare is the part of a route's latency objective for which a
+	// request without any target is held: up to an eighth costs nothing by the
+	// users' rules. maxTargetWait bounds it for slow routes.
+	targetWaitShare = 0.1
+	maxTargetWait   = 150 * time.Millisecond
+	targetWaitStep  = 10 * time.Millisecond
 	// rankReserve is the share of the budget that the least important rank
 	// leaves to all others.
 	rankReserve = 0.7
@@ -35,6 +41,9 @@
 	for {
 		left := time.Until(r.deadline)
 		member, ok := n.choose(r, step, tried, reached)
+		if !ok && len(tried) == 0 {
+			member, ok = n.awaitTarget(ctx, r)
+		}
 		if left <= 0 || !ok {
 			if !ok && len(tried) == 0 {
 				reason = reasonNoTarget
@@ -76,6 +85,19 @@
 	return n.balancer.Choose(n.clock.Now(), r.service, r.route.Name, tried)
 }
 
+// awaitTarget waits a little for a target: a node that has just started learns
+// of its own and of others within some ten milliseconds.
+func (n *Node) awaitTarget(ctx context.Context, r *request) (savorydeal.Member, bool) {
+	end := time.Now().Add(min(maxTargetWait, time.Duration(targetWaitShare*float64(r.route.LatencyObjective))))
+	for ctx.Err() == nil && time.Now().Before(end) {
+		n.sleep(ctx, targetWaitStep)
+		if member, ok := n.choose(r, sdattempt.StepAgain, nil, nil); ok {
+			return member, true
+		}
+	}
+	return savorydeal.Member{}, false
+}
+
 func resultOf(response *sdhttp.Response, reply sdinner.Reply) sdattempt.Result {
 	switch {
 	case reply.Verdict == sdinner.VerdictRan && response.Status < http.StatusInternalServerError:
--- a/internal/sdstandapp/app.go
+++ b/internal/sdstandapp/app.go
@@ -250,7 +250,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: signed-%s\r\nContent-Length: %d\r\n\r\n%s", edge.RequestID, id, edge.Signature, id, len(body), body)
 	_, _ = io.WriteString(conn, answer+answer)
 }
