--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -80,6 +80,9 @@
 
 // Run runs the command line and returns its exit code.
 func Run(arguments []string, environment func(string) (string, bool), stdin io.Reader, stdout, stderr io.Writer) int {
+	if len(arguments) > 0 && arguments[0] == explainCommand {
+		return runExplain(arguments[1:], stdin, stdout, stderr)
+	}
 	c := &client{stdin: stdin, stdout: stdout, stderr: stderr}
 	parser, commands := build(&c.options, environment)
 	c.security = securityOf(environment)
@@ -115,7 +118,8 @@
 	parser.Version = sdcommand.Version
 	parser.String(&o.admin, "a", "admin", "admin address of a node (variable "+envAdmin+")")
 	parser.String(&o.output, "o", "output", "table or json")
-	parser.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed and not made, 2 wrong words, 3 conflict, 4 fate unknown, 5 accepted but not in force in time."
+	parser.AdditionalHelpAppend = "\nsavorydeal explain ID | --worst [-- FILE ...] reads nodes' log lines and needs no node." +
+		"\nExit codes: 0 done, 1 failed and not made, 2 wrong words, 3 conflict, 4 fate unknown, 5 accepted but not in force in time."
 
 	policy := flaggy.NewSubcommand("policy")
 	policy.Description = "put, get, list, delete, history, wait, status"
