--- a/internal/sdestate/estate.go
+++ b/internal/sdestate/estate.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,11 +19,13 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdclock"
 	"github.com/savorydeal/savorydeal/internal/sdsidecar"
 	"github.com/savorydeal/savorydeal/internal/sdstandapp"
 	"github.com/savorydeal/savorydeal/internal/sdstandstore"
 	"github.com/savorydeal/savorydeal/platform"
+	"github.com/savorydeal/savorydeal/platform/platformtest"
 )
 
 // Ports are the same on all VMs; their addresses differ.
@@ -36,6 +37,9 @@
 	portPeers    = 20120
 	portMetrics  = 20121
 	beatEvery    = 300 * time.Millisecond
+	memoryBytes  = 256 << 20
+	// maxConnections is what operators allow to one target.
+	maxConnections = 1000
 )
 
 // Host is the host of all routes of an estate.
@@ -63,9 +67,10 @@
 
 // Route is one route of the configuration.
 type Route struct {
-	Name, Prefix, Kind, Service string
-	Timeout                     time.Duration
-	Priority, MaxTargets        int
+	Name, Prefix, Service string
+	Kind                  savorydeal.RouteKind
+	Timeout               time.Duration
+	Priority, MaxTargets  int
 }
 
 // Config is the configuration in the store.
@@ -142,16 +147,14 @@
 		Address: fmt.Sprintf("%s%d", network, number), estate: e, nodeStopped: make(chan error, 1),
 	}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", vm.Address, port) }
-	settings, err := json.MarshalIndent(map[string]any{
-		"nodeId": vm.Name, "ip": vm.Address, "zone": dataCentre, "region": "loopback", "service": service.Name, "appAddr": at(portTarget),
-		"listenAddrs":       map[string]string{"outbound": at(portCallers), "ready": at(portReady), "control": at(portAnnounce)},
-		"internalPortRange": []int{portPeers, portMetrics}, "seedNodes": []string{}, "heartbeatS": beatEvery.Seconds(),
-		"limits": map[string]any{"memoryMb": 256},
-		"bounds": map[string]any{
-			"drainS": 2, "graceS": e.Plan.Grace.Seconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetMinRetries": 50, "configApplyS": 2,
+	settings, err := platformtest.EncodeSettings(platform.Settings{
+		Node: vm.Name, DataCentre: dataCentre, Region: "loopback", Service: service.Name, TargetAddress: at(portTarget),
+		CallerAddress: at(portCallers), ReadyAddress: at(portReady), AnnounceAddress: at(portAnnounce), AnnounceEvery: beatEvery,
+		MemoryBytes: memoryBytes, StoreAddress: e.store.Addr().String(),
+		Bounds: platform.Bounds{
+			Drain: 2 * time.Second, Grace: e.Plan.Grace, RetryRatio: 0.2, BudgetWindow: 10 * time.Second, MinRetries: 50, ConfigApply: 2 * time.Second,
 		},
-		"platform": map[string]any{"address": e.store.Addr().String()},
-	}, "", "  ")
+	}, vm.Address, [2]int{portPeers, portMetrics})
 	if err != nil {
 		return err
 	}
@@ -176,24 +179,23 @@
 
 // SetConfig writes a configuration to the store.
 func (e *Estate) SetConfig(config Config) error {
-	routes := make([]map[string]any, 0, len(config.Routes))
+	encoded := savorydeal.RouteConfig{
+		Version: config.Version,
+		Limits:  savorydeal.RequestLimits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
 	for _, route := range config.Routes {
-		routes = append(routes, map[string]any{
-			"name": route.Name, "pathPrefix": route.Prefix, "kind": route.Kind, "timeoutS": route.Timeout.Seconds(),
-			"targetLatencyS": route.Timeout.Seconds() / 2, "priority": route.Priority, "service": route.Service, "maxAttempts": route.MaxTargets,
+		encoded.Routes = append(encoded.Routes, savorydeal.Route{
+			Name: route.Name, Host: Host, PathPrefix: route.Prefix, Kind: route.Kind, Timeout: route.Timeout,
+			LatencyObjective: route.Timeout / 2, Priority: route.Priority, MaxTargets: route.MaxTargets,
+			Splits: []savorydeal.Split{{Service: route.Service, Weight: 1}},
 		})
 	}
-	services := make([]map[string]any, 0, len(e.Plan.Services))
 	for _, service := range e.Plan.Services {
-		services = append(services, map[string]any{"name": service.Name, "healthPath": "/health", "maxConnections": 1000})
+		encoded.Services = append(encoded.Services, savorydeal.ServiceSpec{Name: service.Name, HealthPath: "/health", MaxConnections: maxConnections})
 	}
-	spec, err := json.Marshal(map[string]any{
-		"version": fmt.Sprintf("%08x", config.Version), "services": services,
-		"limits":       map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"virtualHosts": []map[string]any{{"host": Host, "routePaths": routes}},
-	})
+	spec, err := platformtest.EncodeConfig(encoded)
 	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
+		return err
 	}
 	e.Store.Set(platform.ConfigKind, platform.ConfigName, spec)
 	return nil
--- a/internal/sdexplain/line.go
+++ b/internal/sdexplain/line.go
@@ -80,7 +80,7 @@
 		if !ok {
 			break
 		}
-		value := rest
+		var value string
 		if quoted, err := strconv.QuotedPrefix(rest); err == nil {
 			value, _ = strconv.Unquote(quoted) // a quoted prefix can be unquoted
 			rest = rest[len(quoted):]
--- a/internal/sdplatformdemo/demo.go
+++ b/internal/sdplatformdemo/demo.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdbench"
 	"github.com/savorydeal/savorydeal/internal/sdestate"
 	"github.com/savorydeal/savorydeal/internal/sdstandapp"
@@ -36,7 +37,7 @@
 
 // Plan is the demonstration's installation.
 func Plan() sdestate.Plan {
-	route := func(name, kind, service string, priority int) sdestate.Route {
+	route := func(name string, kind savorydeal.RouteKind, service string, priority int) sdestate.Route {
 		return sdestate.Route{
 			Name: name, Prefix: "/" + name + "/", Kind: kind, Service: service, Timeout: 2 * time.Second, Priority: priority, MaxTargets: 2,
 		}
@@ -48,7 +49,7 @@
 			{Name: "archive", Slots: 20, Work: 5 * time.Millisecond, Targets: 1},
 		},
 		Config: sdestate.Config{Version: 7, Routes: []sdestate.Route{
-			route("lookup", "idempotent", "desk", 2), route("close", "non_idempotent", "desk", 0), route("index", "idempotent", "archive", 2),
+			route("lookup", savorydeal.RouteIdempotent, "desk", 2), route("close", savorydeal.RouteNonIdempotent, "desk", 0), route("index", savorydeal.RouteIdempotent, "archive", 2),
 		}},
 		Calls: map[string][]sdstandapp.Call{"/lookup/": {{Host: sdestate.Host, Path: "/index/1"}, {Host: sdestate.Host, Path: "/index/2"}}},
 		Grace: 5 * time.Second,
@@ -172,7 +173,7 @@
 	changed := d.estate.Plan.Config
 	changed.Version = 30
 	changed.Routes = append([]sdestate.Route{{
-		Name: "new", Prefix: "/new/", Kind: "idempotent", Service: "archive", Timeout: time.Second, Priority: 1, MaxTargets: 2,
+		Name: "new", Prefix: "/new/", Kind: savorydeal.RouteIdempotent, Service: "archive", Timeout: time.Second, Priority: 1, MaxTargets: 2,
 	}}, changed.Routes...)
 	if err := d.estate.SetConfig(changed); err != nil {
 		return 0, err
--- a/internal/sdstandapp/app.go
+++ b/internal/sdstandapp/app.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/platform"
+	"github.com/savorydeal/savorydeal/platform/platformtest"
 )
 
 // Call is a call that a run makes.
@@ -151,20 +152,16 @@
 func (a *App) Beat(ctx context.Context) error {
 	a.mu.Lock()
 	a.sequence++
-	state := "ready"
-	if a.leaving {
-		state = "draining"
-	}
-	beat := map[string]any{
-		"born": a.config.Started, "service": a.config.Service, "address": a.config.Address, "zone": a.config.DataCentre,
-		"version": "v1", "slots": a.config.Slots, "state": state, "warmupLeftS": 0, "seq": a.sequence,
+	beat := savorydeal.Beat{
+		Identity: a.config.Identity, Started: a.config.Started, Sequence: a.sequence, Service: a.config.Service, Address: a.config.Address,
+		DataCentre: a.config.DataCentre, Slots: a.config.Slots, Leaving: a.leaving,
 	}
 	a.mu.Unlock()
-	body, err := json.Marshal(beat)
+	body, err := platformtest.EncodeBeat(beat)
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a.config.Announce+"/instances/"+a.config.Identity, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a.config.Announce+platform.BeatPrefix+a.config.Identity, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
