State dump test waits for the first announcement

Cause of its one failure: the dump was read before the target's first announcement, when its slots were a guess. The check itself is as it was.

--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -309,8 +309,16 @@
 func TestStateDump(t *testing.T) {
 	is := is.New(t)
 	estate, ctx := start(t)
-	text, err := estate.State(ctx, estate.VMs[0])
-	is.NoErr(err)
+	var text string
+	// The slots that count are known from the target's first announcement on.
+	for end := time.Now().Add(configWithin); ; time.Sleep(20 * time.Millisecond) {
+		var err error
+		text, err = estate.State(ctx, estate.VMs[0])
+		is.NoErr(err)
+		if !strings.Contains(text, `"sequence": 0`) || time.Now().After(end) {
+			break
+		}
+	}
 	for _, part := range []string{`"version": 12`, `"state": "ready"`, `"door_level"`, `"budget_left"`, `"members"`, `"limit": 18`} {
 		is.True(strings.Contains(text, part))
 	}
