--- a/internal/sdestate/estate.go
+++ b/internal/sdestate/estate.go
@@ -30,6 +30,7 @@
 
 // Ports are the same on all VMs; their addresses differ.
 const (
+	portStore    = 20100
 	portCallers  = 20104
 	portReady    = 20102
 	portAnnounce = 20106
@@ -113,14 +114,13 @@
 // Start starts the store and the targets of a plan, and writes the settings of
 // the nodes into the folder. The nodes are started by StartNode.
 func Start(plan Plan, folder string, log hclog.Logger) (*Estate, error) {
-	network := fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250))
 	e := &Estate{
 		Store: sdstandstore.New(), Ledger: &sdstandapp.Ledger{}, Plan: plan, folder: folder, log: log,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
-	var err error
-	if e.store, err = net.Listen("tcp", network+"250:0"); err != nil {
-		return nil, fmt.Errorf("store: %w", err)
+	network, err := e.reserveNetwork()
+	if err != nil {
+		return nil, err
 	}
 	e.server = &http.Server{Handler: e.Store}
 	go func() { _ = e.server.Serve(e.store) }()
@@ -140,6 +140,28 @@
 	return e, nil
 }
 
+// StoreAddress is the address of the store's stand-in.
+func (e *Estate) StoreAddress() string {
+	return e.store.Addr().String()
+}
+
+// reserveTries bounds the networks that are drawn for one estate.
+const reserveTries = 20
+
+// reserveNetwork draws a network of loopback addresses for the estate. The
+// store's address reserves it: another estate that draws the same one, in this
+// process or another, cannot listen there and draws again.
+func (e *Estate) reserveNetwork() (string, error) {
+	var err error
+	for range reserveTries {
+		network := fmt.Sprintf("127.%d.%d.", 16+rand.IntN(200), rand.IntN(250))
+		if e.store, err = net.Listen("tcp", fmt.Sprintf("%s250:%d", network, portStore)); err == nil {
+			return network, nil
+		}
+	}
+	return "", fmt.Errorf("no network of loopback addresses is free: %w", err)
+}
+
 func (e *Estate) addVM(network, dataCentre string, service Service) error {
 	number := len(e.VMs) + 1
 	vm := &VM{
--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -341,3 +341,18 @@
 		is.Equal(answer.Status, http.StatusOK)
 	}
 }
+
+// Estates that run at the same time never share an address, however many there
+// are.
+func TestEstatesHaveNetworksOfTheirOwn(t *testing.T) {
+	is := is.New(t)
+	small := sdestate.Plan{}
+	networks := make(map[string]bool)
+	for range 300 {
+		estate, err := sdestate.Start(small, t.TempDir(), hclog.NewNullLogger())
+		is.NoErr(err)
+		t.Cleanup(estate.Close)
+		is.True(!networks[estate.StoreAddress()])
+		networks[estate.StoreAddress()] = true
+	}
+}
