Stopping nodes serve others for a third of the grace

Cause: at SIGTERM a node told the others that its target leaves, though the target ran on and the node took no work of others for 3 s before it ended. Ruled out: readiness and callers' connections, which go first as before. Change: the target's leaving is told a third of the grace, at most 2 s, after the signal; what is left of the 3 s is for calls under way. Test: TestStoppingNodesServeOn, fails first (503).

--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -225,6 +225,34 @@
 	is.True(!estate.VMs[1].Ready(ctx))
 }
 
+// Nodes that stop go on serving others for a while: a service whose nodes are
+// stopped at the same time has not lost its targets yet.
+func TestStoppingNodesServeOn(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	var group sync.WaitGroup
+	var desk *sdestate.VM
+	for _, vm := range estate.VMs {
+		if vm.Service == "desk" {
+			desk = vm
+			continue
+		}
+		group.Go(func() {
+			if err := vm.StopNode(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	began := time.Now()
+	for i := 0; time.Since(began) < plan().Grace/4; i++ {
+		answer := estate.Do(ctx, desk, sdestate.Request{ID: fmt.Sprintf("on%d", i), Path: "/entry/1"})
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status, http.StatusOK)
+		time.Sleep(10 * time.Millisecond)
+	}
+	group.Wait()
+}
+
 // Each row is a way in which the store fails. The nodes go on serving, and a
 // change that came meanwhile is in force in time once the store is back.
 func TestStoreFails(t *testing.T) {
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -203,7 +203,7 @@
 func (n *Node) publishTarget(c *control) {
 	now := n.clock.Now()
 	state := c.tracker.State()
-	n.target.setState(state, c.stopping)
+	n.target.setState(state)
 	told := state.Target
 	if c.stopping && told == savorydeal.TargetReady {
 		told = savorydeal.TargetLeaving
--- a/internal/sdsidecar/stop.go
+++ b/internal/sdsidecar/stop.go
@@ -10,6 +10,12 @@
 	// signal: the platform takes two missed readiness questions, one a second,
 	// before it sends no new work.
 	leastServe = 2500 * time.Millisecond
+	// serveOthers is the time after the signal for which this VM's target still
+	// takes new calls of other nodes: a stop and start then costs its service
+	// little room. The rest of lateRequests is left for those calls to end.
+	serveOthers = 2 * time.Second
+	// serveOthersShare bounds it by the platform's grace.
+	serveOthersShare = 1.0 / 3
 	// lateRequests is the time after the signal from which new requests are not
 	// expected any more.
 	lateRequests = 3 * time.Second
@@ -21,8 +27,8 @@
 )
 
 // waitAndStop waits for the signal and then ends the node: readiness goes
-// first, other nodes are told, callers are served while they leave, and work
-// in flight is finished within the platform's grace.
+// first, callers and other nodes are served while callers leave, then other
+// nodes are told, and work in flight is finished within the platform's grace.
 func (n *Node) waitAndStop(ctx, background context.Context, l listeners) error {
 	select {
 	case <-ctx.Done():
@@ -34,16 +40,21 @@
 	began := time.Now()
 	n.log.Info("stop begun", "active", n.callers.Active(), "serving_others", n.others.Active())
 	n.stopping.Store(true)
-	_ = n.do(background, func(c *control) {
-		c.stopping = true
-		n.publishTarget(c)
-	})
 	n.callers.CloseSoon()
-	end := began.Add(n.changeable.Load().bounds.Grace - killMargin)
-	closed := false
+	grace := n.changeable.Load().bounds.Grace
+	end := began.Add(grace - killMargin)
+	leave := min(serveOthers, time.Duration(serveOthersShare*float64(grace)))
+	closed, left := false, false
 	for time.Now().Before(end) {
 		time.Sleep(stopPoll)
 		since := time.Since(began)
+		if !left && since >= leave {
+			left = true
+			_ = n.do(background, func(c *control) {
+				c.stopping = true
+				n.publishTarget(c)
+			})
+		}
 		if since < leastServe {
 			continue
 		}
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -55,7 +55,6 @@
 	waiting map[sdqueue.Ticket]chan bool
 	ticket  sdqueue.Ticket
 	state   sdinstance.State
-	stopped bool
 }
 
 func newTargetServer(n *Node) *targetServer {
@@ -69,12 +68,11 @@
 
 // setState puts the target's state in force: what is not running yet runs no
 // more on a target that leaves.
-func (s *targetServer) setState(state sdinstance.State, stopping bool) {
+func (s *targetServer) setState(state sdinstance.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	newTarget := state.Beat.Identity != s.state.Beat.Identity
 	s.state = state
-	s.stopped = stopping
 	if state.Beat.Slots > 0 {
 		s.settle(s.queue.SetLimit(int(placeShare * float64(state.Beat.Slots))))
 	}
