Doors that are closed tell their levels and loads once a second

Cause: the log told only that a door had closed, not the load that moved it. Change: one line a second while it is not open, levels and loads by service. It shows the load swinging between 0.3 and 3 in three to four seconds while the door's level swings between 0 and 1.2: the door moves by the sum of a sum.

--- a/internal/sddoor/door.go
+++ b/internal/sddoor/door.go
@@ -120,15 +120,22 @@
 	return 0
 }
 
-// Levels returns the services whose door is not open.
-func (d *Door) Levels() map[string]float64 {
-	levels := make(map[string]float64)
+// Levels returns the services whose door is not open, with what is known of
+// their loads.
+func (d *Door) Levels(now time.Time) (levels, loads map[string]float64) {
 	for name, s := range d.services {
-		if s.level > 0 {
-			levels[name] = s.level
+		if s.level <= 0 {
+			continue
+		}
+		if levels == nil {
+			levels, loads = make(map[string]float64), make(map[string]float64)
+		}
+		levels[name] = s.level
+		if load, known := d.Load(now, name); known {
+			loads[name] = load
 		}
 	}
-	return levels
+	return levels, loads
 }
 
 // Place is the place of a priority among those in use: 0 for the most important,
--- a/internal/sdsidecar/pressure.go
+++ b/internal/sdsidecar/pressure.go
@@ -13,11 +13,14 @@
 // doorEvery is the time between two moves of the door.
 const doorEvery = 100 * time.Millisecond
 
+// doorToldEvery is the time between two log lines on a door that is not open.
+const doorToldEvery = time.Second
+
 // runDoor moves the door.
 func (n *Node) runDoor(ctx context.Context) error {
 	tick := time.NewTicker(doorEvery)
 	defer tick.Stop()
-	closed := false
+	closed, told := false, time.Time{}
 	for {
 		select {
 		case <-tick.C:
@@ -27,11 +30,11 @@
 		now := n.clock.Now()
 		n.mu.Lock()
 		n.door.Tick(now)
-		levels := n.door.Levels()
+		levels, loads := n.door.Levels(now)
 		n.mu.Unlock()
-		if closed != (len(levels) > 0) {
-			closed = len(levels) > 0
-			n.log.Info("door", "closed", closed, "levels", levels)
+		if closed != (len(levels) > 0) || closed && now.Sub(told) >= doorToldEvery {
+			closed, told = len(levels) > 0, now
+			n.log.Info("door", "closed", closed, "levels", levels, "loads", loads)
 		}
 	}
 }
