The door moves by the demand at a service, not by its queue alone

Cause: the door summed up the load over time, and a queue is itself the sum of what is too much. Change: a target's node tells the share of its places that arrivals would take (sdqueue, memory of 150 ms); pressures of load and demand go with the answers; the door follows demand, the queue only corrects it; steps become smaller while most of a rank is refused. Test: TestDoorDoesNotSwing drives the door and a service three hops below it. Existing tests tell demand beside load now; their bounds stand.

--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -59,6 +59,8 @@
 	Running int
 	Queued  int
 	Limit   int
+	// Demand is the share of Limit that the calls which arrive would take.
+	Demand float64
 }
 
 type target struct {
@@ -321,18 +323,18 @@
 	b.means[o.Route] = mean + time.Duration(routeWeight*float64(o.Ran-mean))
 }
 
-// Load is the load of a service as its targets told it lately, as a share of
-// their places.
-func (b *Balancer) Load(now time.Time, service string) (float64, bool) {
-	busy, places := 0, 0
+// Pressure is what the targets of a service told lately, together.
+func (b *Balancer) Pressure(now time.Time, service string) (savorydeal.Pressure, bool) {
+	busy, places, demand := 0, 0, 0.0
 	for _, t := range b.services[service] {
 		if t.told.Limit > 0 && now.Sub(t.toldAt) < serviceLoadAge {
 			busy += t.told.Running + t.told.Queued
 			places += t.told.Limit
+			demand += t.told.Demand * float64(t.told.Limit)
 		}
 	}
 	if places == 0 {
-		return 0, false
+		return savorydeal.Pressure{}, false
 	}
-	return float64(busy) / float64(places), true
+	return savorydeal.Pressure{Load: float64(busy) / float64(places), Demand: demand / float64(places)}, true
 }
--- a/internal/sdbalance/balance_test.go
+++ b/internal/sdbalance/balance_test.go
@@ -109,17 +109,17 @@
 	b := newBalancer(list)
 	now := start
 	for _, node := range []savorydeal.NodeID{"n0", "n1"} {
-		load := sdbalance.Load{Running: 50, Queued: 60, Limit: 50}
+		load := sdbalance.Load{Running: 50, Queued: 60, Limit: 50, Demand: 1.5}
 		if node == "n1" {
-			load = sdbalance.Load{Running: 5, Limit: 50}
+			load = sdbalance.Load{Running: 5, Limit: 50, Demand: 0.1}
 		}
 		b.Observe(now, sdbalance.Observation{Node: node, Route: "r", Result: sdbalance.ResultAnswered, Ran: 20 * time.Millisecond, Load: load})
 	}
 	member, _ := b.Choose(now, "s", "r", nil)
 	is.Equal(member.Node, savorydeal.NodeID("n1"))
-	load, ok := b.Load(now, "s")
+	pressure, ok := b.Pressure(now, "s")
 	is.True(ok)
-	is.Equal(load, 1.15)
+	is.Equal(pressure, savorydeal.Pressure{Load: 1.15, Demand: 0.8})
 }
 
 // After a full target has refused a call, one that cannot be reached is no way
--- a/internal/sddoor/door.go
+++ b/internal/sddoor/door.go
@@ -5,30 +5,42 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/savorydeal/savorydeal"
 )
 
 const (
 	// fullLoad is the load of a service, as a share of its places, above which
-	// the door closes: all places are taken and a short queue stands.
+	// the door begins to close: all places are taken and a short queue stands.
 	fullLoad = 1.5
-	// openLoad is the load below which the door opens.
-	openLoad = 1.2
-	// maxLoad bounds how much of an excess counts at once.
-	maxLoad = 3.0
+	// restLoad is the load at which a door that is not open holds the service:
+	// no place is idle and few calls wait.
+	restLoad = 1.2
+	// maxLoad and maxDemand bound how much of an excess counts at once.
+	maxLoad   = 3.0
+	maxDemand = 2.0
+	// queueWeight turns load off restLoad into demand that is to be shed or let
+	// in besides; mostQueue and leastQueue bound it, since a queue grows and
+	// falls within the time that the door's effect takes to be seen.
+	queueWeight = 0.1
+	mostQueue   = 0.3
+	leastQueue  = -0.1
 	// closeRate and openRate are the levels a second by which the door moves
-	// for each unit of load off the bounds. Word from a deep service takes some
-	// 0.2 s; these rates move the door by less than a third of a rank in that.
+	// for each unit of demand off the places. What the door does is seen some
+	// 0.5 s later; these rates stay below one level in that.
 	closeRate = 1.0
-	openRate  = 1.5
-	// loadWeight is the weight of one word on a service's load.
+	openRate  = 1.2
+	// leastStep bounds how much smaller the door's steps become while it refuses
+	// most of a rank: what it lets in is then a small part of a large demand,
+	// and a step of the same size would be a multiple of it.
+	leastStep = 0.3
+	// loadWeight is the weight of one word on a service's pressure.
 	loadWeight = 0.3
 	// loadAge is the age from which a word on a load no longer counts.
 	loadAge = 2 * time.Second
-	// fallingBy is the change between two ticks from which a load counts as
-	// falling.
-	fallingBy = 0.01
 	// closeAge is the age from which a word on a load closes the door no more.
 	closeAge = 400 * time.Millisecond
 	// blindRate is the levels a second by which the door opens without word.
@@ -36,11 +48,9 @@
 )
 
 type service struct {
-	load  float64
+	savorydeal.Pressure
 	at    time.Time
 	level float64
-	// before is the load at the last tick.
-	before float64
 }
 
 // Door is the door of one node. It is not safe for concurrent use.
@@ -61,27 +71,29 @@
 	d.ranks = slices.Compact(slices.Sorted(slices.Values(priorities)))
 }
 
-// Report takes a word on the load of a service, as a share of its places.
-func (d *Door) Report(now time.Time, name string, load float64) {
+// Report takes a word on the pressure on a service.
+func (d *Door) Report(now time.Time, name string, told savorydeal.Pressure) {
+	told = savorydeal.Pressure{Load: min(told.Load, maxLoad), Demand: min(told.Demand, maxDemand)}
 	s := d.services[name]
 	if s == nil {
-		s = &service{load: load}
+		s = &service{Pressure: told}
 		d.services[name] = s
 	}
 	if now.Sub(s.at) > loadAge {
-		s.load = load
+		s.Pressure = told
 	}
-	s.load += loadWeight * (min(load, maxLoad) - s.load)
+	s.Load += loadWeight * (told.Load - s.Load)
+	s.Demand += loadWeight * (told.Demand - s.Demand)
 	s.at = now
 }
 
-// Load is what is known of a service's load.
-func (d *Door) Load(now time.Time, name string) (float64, bool) {
+// Pressure is what is known of the pressure on a service.
+func (d *Door) Pressure(now time.Time, name string) (savorydeal.Pressure, bool) {
 	s := d.services[name]
 	if s == nil || now.Sub(s.at) > loadAge {
-		return 0, false
+		return savorydeal.Pressure{}, false
 	}
-	return s.load, true
+	return s.Pressure, true
 }
 
 // Tick moves the door.
@@ -93,25 +105,35 @@
 	d.ticked = now
 	highest := float64(len(d.ranks))
 	for _, s := range d.services {
+		excess := s.excess() * s.stepSize()
 		switch {
 		case now.Sub(s.at) > loadAge:
 			s.level -= blindRate * passed
+		case excess < 0:
+			s.level += openRate * excess * passed
 		case now.Sub(s.at) > closeAge:
 			// Few requests pass a door that is nearly closed, and word is rare:
 			// it is no reason to close on.
-		case s.load > fullLoad && s.load < s.before-fallingBy:
-			// What was let in before is being worked off: closing further
-			// would leave the service idle afterwards.
-		case s.load > fullLoad:
-			s.level += closeRate * (s.load - fullLoad) * passed
-		case s.load < openLoad:
-			s.level -= openRate * (openLoad - s.load) * passed
+		case s.level > 0 || s.Load > fullLoad:
+			s.level += closeRate * excess * passed
 		}
 		s.level = min(highest, max(0, s.level))
-		s.before = s.load
 	}
 }
 
+// excess is the demand that is to be shed; below 0 there is room for more. A
+// queue alone would tell too late: it is the sum of the excess over time.
+func (s *service) excess() float64 {
+	queued := min(mostQueue, max(leastQueue, queueWeight*(s.Load-restLoad)))
+	return s.Demand - 1 + queued
+}
+
+// stepSize is the part of a rank that still passes, as far as steps follow it.
+func (s *service) stepSize() float64 {
+	_, refused := math.Modf(s.level)
+	return 1 - (1-leastStep)*refused
+}
+
 // Level is the number of ranks that a service refuses, the last one in part.
 func (d *Door) Level(name string) float64 {
 	if s := d.services[name]; s != nil {
@@ -121,21 +143,21 @@
 }
 
 // Levels returns the services whose door is not open, with what is known of
-// their loads.
-func (d *Door) Levels(now time.Time) (levels, loads map[string]float64) {
+// the pressure on them.
+func (d *Door) Levels(now time.Time) (levels map[string]float64, pressures map[string]savorydeal.Pressure) {
 	for name, s := range d.services {
 		if s.level <= 0 {
 			continue
 		}
 		if levels == nil {
-			levels, loads = make(map[string]float64), make(map[string]float64)
+			levels, pressures = make(map[string]float64), make(map[string]savorydeal.Pressure)
 		}
 		levels[name] = s.level
-		if load, known := d.Load(now, name); known {
-			loads[name] = load
+		if pressure, known := d.Pressure(now, name); known {
+			pressures[name] = pressure
 		}
 	}
-	return levels, loads
+	return levels, pressures
 }
 
 // Place is the place of a priority among those in use: 0 for the most important,
--- a/internal/sddoor/door_test.go
+++ b/internal/sddoor/door_test.go
@@ -1,11 +1,13 @@
 package sddoor_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sddoor"
 )
 
@@ -16,7 +18,7 @@
 func drive(d *sddoor.Door, from time.Time, load float64, steps int) time.Time {
 	for range steps {
 		from = from.Add(step)
-		d.Report(from, "deep", load)
+		d.Report(from, "deep", savorydeal.Pressure{Load: load, Demand: load})
 		d.Tick(from)
 	}
 	return from
@@ -64,7 +66,7 @@
 			for range 50 {
 				now = now.Add(step)
 				if heard {
-					d.Report(now, "deep", 0.5)
+					d.Report(now, "deep", savorydeal.Pressure{Load: 0.5, Demand: 0.5})
 				}
 				d.Tick(now)
 			}
@@ -92,7 +94,90 @@
 	now := drive(d, start, 3, 5)
 	level := d.Level("deep")
 	for load := 2.9; load > 1.5; load -= 0.1 {
-		now = drive(d, now, load, 1)
+		now = now.Add(step)
+		d.Report(now, "deep", savorydeal.Pressure{Load: load, Demand: 0.95})
+		d.Tick(now)
 	}
 	is.True(d.Level("deep") < level+0.3)
 }
+
+// deepService is a service three hops below the door: what passes the door
+// arrives later, and word of it takes as long to come back.
+type deepService struct {
+	door     *sddoor.Door
+	now      time.Time
+	load     float64
+	arriving []float64
+}
+
+const (
+	simStep = 20 * time.Millisecond
+	// wayDown and wayBack are the steps between door and service.
+	wayDown = 15
+	wayBack = 8
+	// runTime is the time of one run; a service with all places taken serves
+	// one load in it.
+	runTime = 50 * time.Millisecond
+	// maxQueue is the load from which the service turns calls away.
+	maxQueue = 6.0
+)
+
+// run drives the service with a demand, in shares of its places, of which the
+// least important rank is a part. It returns the mean share of the places in
+// use, the mean load, and the share of the calls that the service turned away.
+func (s *deepService) run(demand, least float64, length time.Duration) (used, load, turnedAway float64) {
+	steps := int(length / simStep)
+	pressures := make([]savorydeal.Pressure, wayBack)
+	sent := 0.0
+	for i := range steps {
+		s.now = s.now.Add(simStep)
+		level := min(1, s.door.Level("deep"))
+		s.arriving = append(s.arriving, demand*(1-least*level))
+		arrived := demand
+		if len(s.arriving) > wayDown {
+			arrived = s.arriving[0]
+			s.arriving = s.arriving[1:]
+		}
+		inStep := simStep.Seconds() / runTime.Seconds()
+		served := min(1, s.load)
+		s.load += (arrived - served) * inStep
+		if s.load > maxQueue {
+			turnedAway += s.load - maxQueue
+			s.load = maxQueue
+		}
+		sent += arrived * inStep
+		used += served
+		load += s.load
+		pressures = append(pressures, savorydeal.Pressure{Load: s.load, Demand: arrived})
+		for range 3 {
+			s.door.Report(s.now, "deep", pressures[0])
+		}
+		pressures = pressures[1:]
+		if i%5 == 0 {
+			s.door.Tick(s.now)
+		}
+	}
+	return used / float64(steps), load / float64(steps), turnedAway / sent
+}
+
+// Under a lasting overload the service below stays in use, its queue stays
+// short, and it turns few calls away: a door that closes and opens by turns
+// leaves it idle in one half and refuses begun requests in the other.
+func TestDoorDoesNotSwing(t *testing.T) {
+	for _, c := range []struct{ demand, least float64 }{{1.2, 0.9}, {1.6, 0.85}, {2.5, 0.9}, {1.5, 0.5}} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			is := is.New(t)
+			s := &deepService{door: sddoor.New(), now: start}
+			s.door.SetPriorities([]int{0, 1, 2})
+			s.run(0.8, c.least, time.Second)
+			s.run(c.demand, c.least, 3*time.Second)
+			used, load, turnedAway := s.run(c.demand, c.least, 10*time.Second)
+			t.Logf("used %.3f load %.2f turned away %.4f", used, load, turnedAway)
+			is.True(used >= 0.95)
+			is.True(load <= 2.5)
+			is.True(turnedAway <= 0.01)
+			used, _, _ = s.run(0.8, c.least, 2*time.Second)
+			is.Equal(s.door.Level("deep"), 0.0)
+		})
+	}
+}
--- a/internal/sdinner/inner.go
+++ b/internal/sdinner/inner.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/savorydeal/savorydeal"
 )
 
 // Names of the headers between nodes.
@@ -39,7 +41,7 @@
 
 const (
 	callFields  = 8
-	replyFields = 9
+	replyFields = 10
 	separator   = ";"
 )
 
@@ -100,9 +102,8 @@
 	// Below is the number of calls that the run made, by service, with the
 	// calls below them.
 	Below map[string]float64
-	// Loads are the loads of services as the target's node knows them, as
-	// shares of their places.
-	Loads map[string]float64
+	// Pressures are those of services as the target's node knows them.
+	Pressures map[string]savorydeal.Pressure
 }
 
 // Load is the state of a target and its queue.
@@ -110,13 +111,16 @@
 	Running int
 	Queued  int
 	Limit   int
+	// Demand is the share of Limit that the calls which arrive would take.
+	Demand float64
 }
 
 // Encode returns the text of a reply.
 func (r Reply) Encode() string {
 	return strings.Join([]string{
 		string(r.Verdict), r.Reason, strconv.FormatBool(r.Reached), strconv.Itoa(r.Load.Running), strconv.Itoa(r.Load.Queued),
-		strconv.Itoa(r.Load.Limit), strconv.FormatInt(r.Ran.Microseconds(), 10), encodeFigures(r.Below), encodeFigures(r.Loads),
+		strconv.Itoa(r.Load.Limit), strconv.FormatInt(r.Ran.Microseconds(), 10), encodeFigures(r.Below), encodePressures(r.Pressures),
+		formatFigure(r.Load.Demand),
 	}, separator)
 }
 
@@ -139,14 +143,15 @@
 		return Reply{}, fmt.Errorf("reply %q: %w", text, err)
 	}
 	below, err1 := decodeFigures(parts[7])
-	loads, err2 := decodeFigures(parts[8])
-	if err := errors.Join(err1, err2); err != nil {
+	pressures, err2 := decodePressures(parts[8])
+	demand, err3 := parseFigure(parts[9])
+	if err := errors.Join(err1, err2, err3); err != nil {
 		return Reply{}, fmt.Errorf("reply %q: %w", text, err)
 	}
 	return Reply{
 		Verdict: Verdict(parts[0]), Reason: parts[1], Reached: reached,
-		Load: Load{Running: int(numbers[0]), Queued: int(numbers[1]), Limit: int(numbers[2])},
-		Ran:  time.Duration(numbers[3]) * time.Microsecond, Below: below, Loads: loads,
+		Load: Load{Running: int(numbers[0]), Queued: int(numbers[1]), Limit: int(numbers[2]), Demand: demand},
+		Ran:  time.Duration(numbers[3]) * time.Microsecond, Below: below, Pressures: pressures,
 	}, nil
 }
 
@@ -155,6 +160,8 @@
 	figureEquals    = "="
 	figureDigits    = 2
 	floatBits       = 64
+	// pressureSeparator stands between the two figures of a pressure.
+	pressureSeparator = "/"
 )
 
 // encodeFigures writes figures by name, sorted.
@@ -164,7 +171,7 @@
 	}
 	parts := make([]string, 0, len(figures))
 	for _, name := range slices.Sorted(maps.Keys(figures)) {
-		parts = append(parts, name+figureEquals+strconv.FormatFloat(figures[name], 'f', figureDigits, floatBits))
+		parts = append(parts, name+figureEquals+formatFigure(figures[name]))
 	}
 	return strings.Join(parts, figureSeparator)
 }
@@ -175,12 +182,52 @@
 	}
 	figures := make(map[string]float64)
 	for part := range strings.SplitSeq(text, figureSeparator) {
-		name, value, ok := strings.Cut(part, figureEquals)
-		figure, err := strconv.ParseFloat(value, floatBits)
-		if !ok || err != nil || math.IsNaN(figure) || figure < 0 {
-			return nil, fmt.Errorf("figure %q is not a name and a number from 0", part)
+		name, value, _ := strings.Cut(part, figureEquals)
+		figure, err := parseFigure(value)
+		if err != nil {
+			return nil, fmt.Errorf("figure of %q: %w", name, err)
 		}
 		figures[name] = figure
 	}
 	return figures, nil
 }
+
+func formatFigure(figure float64) string {
+	return strconv.FormatFloat(figure, 'f', figureDigits, floatBits)
+}
+
+func parseFigure(text string) (float64, error) {
+	figure, err := strconv.ParseFloat(text, floatBits)
+	if err != nil || math.IsNaN(figure) || math.IsInf(figure, 0) || figure < 0 {
+		return 0, fmt.Errorf("%q is not a number from 0", text)
+	}
+	return figure, nil
+}
+
+// encodePressures writes pressures by service, sorted.
+func encodePressures(pressures map[string]savorydeal.Pressure) string {
+	parts := make([]string, 0, len(pressures))
+	for _, name := range slices.Sorted(maps.Keys(pressures)) {
+		p := pressures[name]
+		parts = append(parts, name+figureEquals+formatFigure(p.Load)+pressureSeparator+formatFigure(p.Demand))
+	}
+	return strings.Join(parts, figureSeparator)
+}
+
+func decodePressures(text string) (map[string]savorydeal.Pressure, error) {
+	if text == "" {
+		return nil, nil
+	}
+	pressures := make(map[string]savorydeal.Pressure)
+	for part := range strings.SplitSeq(text, figureSeparator) {
+		name, value, _ := strings.Cut(part, figureEquals)
+		first, second, _ := strings.Cut(value, pressureSeparator)
+		load, err1 := parseFigure(first)
+		demand, err2 := parseFigure(second)
+		if err := errors.Join(err1, err2); err != nil {
+			return nil, fmt.Errorf("pressure of %q: %w", name, err)
+		}
+		pressures[name] = savorydeal.Pressure{Load: load, Demand: demand}
+	}
+	return pressures, nil
+}
--- a/internal/sdinner/inner_test.go
+++ b/internal/sdinner/inner_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdinner"
 )
 
@@ -21,8 +22,8 @@
 	is.NoErr(err)
 	is.Equal(read, call)
 	reply := sdinner.Reply{
-		Verdict: sdinner.VerdictNotRun, Reason: "x", Reached: true, Load: sdinner.Load{Running: 1, Queued: 2, Limit: 3},
-		Ran: 4 * time.Microsecond, Below: map[string]float64{"a": 4, "b": 0.25}, Loads: map[string]float64{"a": 1.5},
+		Verdict: sdinner.VerdictNotRun, Reason: "x", Reached: true, Load: sdinner.Load{Running: 1, Queued: 2, Limit: 3, Demand: 1.25},
+		Ran: 4 * time.Microsecond, Below: map[string]float64{"a": 4, "b": 0.25}, Pressures: map[string]savorydeal.Pressure{"a": {Load: 1.5, Demand: 0.75}},
 	}
 	answer, err := sdinner.DecodeReply(reply.Encode())
 	is.NoErr(err)
--- a/internal/sdqueue/queue.go
+++ b/internal/sdqueue/queue.go
@@ -4,6 +4,7 @@
 package sdqueue
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -15,6 +16,9 @@
 	firstService = 20 * time.Millisecond
 	// maxWaiting bounds the calls that wait, and with them their memory.
 	maxWaiting = 2000
+	// arrivalMemory is the age at which an arrival's weight has fallen to 1/e:
+	// long enough for a few dozen calls, and shorter than a door's way back.
+	arrivalMemory = 150 * time.Millisecond
 	// firstLimit bounds the runs until the target has told its slots.
 	firstLimit = 32
 )
@@ -56,6 +60,10 @@
 	running int
 	waiting []Arrival
 	service time.Duration
+	// arrivals counts calls, each with a weight that falls with its age.
+	arrivals float64
+	// countedAt is the time at which the weights of arrivals hold.
+	countedAt time.Time
 }
 
 // New returns a queue for a target whose slots are not known yet.
@@ -92,8 +100,25 @@
 	return 1
 }
 
+// Demand is the share of the places that the calls which arrive would take if
+// none of them waited.
+func (q *Queue) Demand(now time.Time) float64 {
+	q.age(now)
+	return q.arrivals / arrivalMemory.Seconds() * q.service.Seconds() / float64(q.limit)
+}
+
+// age lets the weights of arrivals fall.
+func (q *Queue) age(now time.Time) {
+	if past := now.Sub(q.countedAt); past > 0 {
+		q.arrivals *= math.Exp(-past.Seconds() / arrivalMemory.Seconds())
+		q.countedAt = now
+	}
+}
+
 // Arrive takes a call. It may refuse others that wait, to make room for it.
 func (q *Queue) Arrive(now time.Time, arrival Arrival) (Verdict, Outcome) {
+	q.age(now)
+	q.arrivals++
 	expired := q.expire(now)
 	if q.running < q.limit && len(q.waiting) == 0 {
 		q.running++
--- a/internal/sdsidecar/dump.go
+++ b/internal/sdsidecar/dump.go
@@ -55,9 +55,9 @@
 	services := make(map[string]any)
 	if table := n.routes.Load(); table != nil {
 		for _, service := range table.Config().Services {
-			load, _ := n.door.Load(now, service.Name)
+			pressure, _ := n.door.Pressure(now, service.Name)
 			services[service.Name] = map[string]any{
-				"load": load, "door_level": n.door.Level(service.Name), "budget_left": n.budget.Left(now, service.Name),
+				"load": pressure.Load, "demand": pressure.Demand, "door_level": n.door.Level(service.Name), "budget_left": n.budget.Left(now, service.Name),
 			}
 		}
 	}
--- a/internal/sdsidecar/pressure.go
+++ b/internal/sdsidecar/pressure.go
@@ -30,11 +30,11 @@
 		now := n.clock.Now()
 		n.mu.Lock()
 		n.door.Tick(now)
-		levels, loads := n.door.Levels(now)
+		levels, pressures := n.door.Levels(now)
 		n.mu.Unlock()
 		if closed != (len(levels) > 0) || closed && now.Sub(told) >= doorToldEvery {
 			closed, told = len(levels) > 0, now
-			n.log.Info("door", "closed", closed, "levels", levels, "loads", loads)
+			n.log.Info("door", "closed", closed, "levels", levels, "pressures", pressures)
 		}
 	}
 }
@@ -83,27 +83,27 @@
 	if reply.Verdict == sdinner.VerdictRan {
 		n.graph.Learn(now, r.route.Name, reply.Below, response.Status < http.StatusInternalServerError)
 	}
-	if load, ok := n.balancer.Load(now, r.service); ok {
-		n.door.Report(now, r.service, load)
+	if pressure, ok := n.balancer.Pressure(now, r.service); ok {
+		n.door.Report(now, r.service, pressure)
 	}
-	for service, load := range reply.Loads {
-		n.door.Report(now, service, load)
+	for service, pressure := range reply.Pressures {
+		n.door.Report(now, service, pressure)
 	}
 }
 
-// loadsOf returns the loads of the services that a run has called.
-func (n *Node) loadsOf(calls map[string]float64) map[string]float64 {
+// pressuresOf returns those of the services that a run has called.
+func (n *Node) pressuresOf(calls map[string]float64) map[string]savorydeal.Pressure {
 	if len(calls) == 0 {
 		return nil
 	}
-	loads := make(map[string]float64, len(calls))
+	pressures := make(map[string]savorydeal.Pressure, len(calls))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	for service := range calls {
-		if load, ok := n.door.Load(now, service); ok {
-			loads[service] = load
+		if pressure, ok := n.door.Pressure(now, service); ok {
+			pressures[service] = pressure
 		}
 	}
-	return loads
+	return pressures
 }
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -110,7 +110,7 @@
 }
 
 func (s *targetServer) load() sdinner.Load {
-	return sdinner.Load{Running: s.queue.Running(), Queued: s.queue.Waiting(), Limit: s.queue.Limit()}
+	return sdinner.Load{Running: s.queue.Running(), Queued: s.queue.Waiting(), Limit: s.queue.Limit(), Demand: s.queue.Demand(time.Now())}
 }
 
 func (s *targetServer) notRun(reason string) (*sdhttp.Response, sdinner.Reply) {
@@ -133,7 +133,7 @@
 	s.node.runs.end(id)
 	ran := time.Since(began)
 	reply.Below = info.calls()
-	reply.Loads = s.node.loadsOf(reply.Below)
+	reply.Pressures = s.node.pressuresOf(reply.Below)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if reply.Verdict == sdinner.VerdictRan {
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -211,6 +211,6 @@
 	defer n.mu.Unlock()
 	n.balancer.Observe(n.clock.Now(), sdbalance.Observation{
 		Node: member.Node, Route: r.route.Name, Result: result, Ran: reply.Ran,
-		Load: sdbalance.Load{Running: reply.Load.Running, Queued: reply.Load.Queued, Limit: reply.Load.Limit},
+		Load: sdbalance.Load{Running: reply.Load.Running, Queued: reply.Load.Queued, Limit: reply.Load.Limit, Demand: reply.Load.Demand},
 	})
 }
--- a/route.go
+++ b/route.go
@@ -62,6 +62,15 @@
 	IdleTimeout time.Duration
 }
 
+// Pressure is what is told of the load of a target or a service.
+type Pressure struct {
+	// Load is the number of calls that run or wait, as a share of the places.
+	Load float64
+	// Demand is the share of the places that the calls which arrive would
+	// take if none of them waited; above 1 the queue grows.
+	Demand float64
+}
+
 // RouteConfig is the whole configuration of routes, as operators wrote it.
 type RouteConfig struct {
 	// Version grows with each change, not always by one.
