--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -61,6 +61,11 @@
 		last := ctx.Err() != nil || time.Until(r.deadline) < leastTry
 		switch step = attempts.Next(resultOf(response, reply), last, func() bool { return n.spend(r) }); step {
 		case sdattempt.StepPass:
+			if response.Status >= http.StatusInternalServerError {
+				n.log.Request("failure passed on", "request", r.id, "route", r.route.Name, "service", r.service, "rank", r.rank,
+					"depth", r.depth, "peer", member.PeerAddress, "status", response.Status, "tries", len(tried), "max_targets", r.route.MaxTargets,
+					"budget_left", n.budgetLeft(r), "left", time.Until(r.deadline))
+			}
 			return response
 		case sdattempt.StepAgain, sdattempt.StepSame:
 			if response != nil {
@@ -139,6 +144,13 @@
 	return n.budget.Spend(now, costs, rankReserve*n.door.Place(r.rank))
 }
 
+// budgetLeft is what this node may still spend for repeats at the service.
+func (n *Node) budgetLeft(r *request) float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.budget.Left(n.clock.Now(), r.service)
+}
+
 // try sends the request to one target.
 func (n *Node) try(ctx context.Context, r *request, member savorydeal.Member, left time.Duration) (*sdhttp.Response, sdinner.Reply) {
 	call := sdinner.Call{
