Calls with time to spare stay in their data centre

Change: another data centre counts as up to a fifth slower while the mean run takes little of the route's latency objective, and as nothing once it takes a quarter of it. Test: TestWayIsPricedWhileThereIsTime.

--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -26,9 +26,13 @@
 	errorHalfLife = 2 * time.Second
 	// errorPenalty is how often longer a target that always fails seems.
 	errorPenalty = 20.0
-	// crossWay is the extra time of a call to another data centre and back, and
-	// a price for its bytes.
+	// crossWay is the extra time of a call to another data centre and back.
 	crossWay = 4 * time.Millisecond
+	// crossPrice is how much slower another data centre counts, since bytes
+	// between them are paid for, while a call has time to spare: none is spent
+	// once the mean run takes tightShare of the route's latency objective.
+	crossPrice = 0.2
+	tightShare = 0.25
 	// coldPenalty is how much slower a target counts that has just started.
 	coldPenalty = 1.0
 	// coldTime is how long a target counts as cold.
@@ -154,20 +158,28 @@
 	return len(b.services[service])
 }
 
+// Call is what a choice depends on.
+type Call struct {
+	Service string
+	Route   string
+	// Objective is the route's latency objective.
+	Objective time.Duration
+}
+
 // Again picks one of the targets that were tried and counts the call as sent.
-func (b *Balancer) Again(now time.Time, service, route string, tried []savorydeal.NodeID) (savorydeal.Member, bool) {
+func (b *Balancer) Again(now time.Time, call Call, tried []savorydeal.NodeID) (savorydeal.Member, bool) {
 	var open []*target
-	for _, t := range b.services[service] {
+	for _, t := range b.services[call.Service] {
 		if slices.Contains(tried, t.member.Node) && t.open(now) {
 			open = append(open, t)
 		}
 	}
-	return b.pick(now, route, open)
+	return b.pick(now, call, open)
 }
 
 // Choose picks a target that is not in tried and counts the call as sent.
-func (b *Balancer) Choose(now time.Time, service, route string, tried []savorydeal.NodeID) (savorydeal.Member, bool) {
-	all := b.services[service]
+func (b *Balancer) Choose(now time.Time, call Call, tried []savorydeal.NodeID) (savorydeal.Member, bool) {
+	all := b.services[call.Service]
 	open := make([]*target, 0, len(all))
 	for _, t := range all {
 		if !slices.Contains(tried, t.member.Node) && t.open(now) {
@@ -182,11 +194,11 @@
 			}
 		}
 	}
-	return b.pick(now, route, open)
+	return b.pick(now, call, open)
 }
 
 // pick draws a few targets and picks the one with the least cost.
-func (b *Balancer) pick(now time.Time, route string, open []*target) (savorydeal.Member, bool) {
+func (b *Balancer) pick(now time.Time, call Call, open []*target) (savorydeal.Member, bool) {
 	if len(open) == 0 {
 		return savorydeal.Member{}, false
 	}
@@ -194,10 +206,11 @@
 		j := i + b.random.IntN(len(open)-i)
 		open[i], open[j] = open[j], open[i]
 	}
-	mean := b.mean(route)
+	mean := b.mean(call.Route)
+	price := crossPriceOf(mean, call.Objective)
 	best, least := open[0], math.Inf(1)
 	for _, t := range open[:min(candidates, len(open))] {
-		if cost := b.cost(now, t, mean) * (1 + costJitter*b.random.Float64()); cost < least {
+		if cost := b.cost(now, t, mean, price) * (1 + costJitter*b.random.Float64()); cost < least {
 			best, least = t, cost
 		}
 	}
@@ -212,8 +225,17 @@
 	return firstMean
 }
 
-// cost is the expected time of a call, in seconds.
-func (b *Balancer) cost(now time.Time, t *target, mean time.Duration) float64 {
+// crossPriceOf is the part by which another data centre counts as slower for a
+// route with the mean run and objective.
+func crossPriceOf(mean, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	return crossPrice * max(0, 1-mean.Seconds()/objective.Seconds()/tightShare)
+}
+
+// cost is the expected time of a call, in seconds, with the price of its way.
+func (b *Balancer) cost(now time.Time, t *target, mean time.Duration, price float64) float64 {
 	run := mean.Seconds() * t.speed
 	limit := float64(max(1, t.told.Limit, t.member.Slots))
 	if t.told.Limit > 0 {
@@ -228,7 +250,7 @@
 		cost *= 1 + coldPenalty*(1-since.Seconds()/coldTime.Seconds())
 	}
 	if t.member.DataCentre != b.dataCentre {
-		cost += crossWay.Seconds()
+		cost = cost*(1+price) + crossWay.Seconds()
 	}
 	return cost * (1 + errorPenalty*t.failureShare(now))
 }
--- a/internal/sdbalance/balance_test.go
+++ b/internal/sdbalance/balance_test.go
@@ -38,7 +38,7 @@
 	now := start
 	for range calls {
 		now = now.Add(5 * time.Millisecond)
-		member, ok := b.Choose(now, "s", "r", nil)
+		member, ok := b.Choose(now, sdbalance.Call{Service: "s", Route: "r"}, nil)
 		if !ok {
 			continue
 		}
@@ -94,10 +94,10 @@
 	list[2].State = savorydeal.MemberDead
 	list[3].Service = "other"
 	b := newBalancer(list)
-	member, ok := b.Choose(start, "s", "r", nil)
+	member, ok := b.Choose(start, sdbalance.Call{Service: "s", Route: "r"}, nil)
 	is.True(ok)
 	is.Equal(member.Node, savorydeal.NodeID("n4"))
-	_, ok = b.Choose(start, "s", "r", []savorydeal.NodeID{"n4"})
+	_, ok = b.Choose(start, sdbalance.Call{Service: "s", Route: "r"}, []savorydeal.NodeID{"n4"})
 	is.True(!ok)
 }
 
@@ -115,7 +115,7 @@
 		}
 		b.Observe(now, sdbalance.Observation{Node: node, Route: "r", Result: sdbalance.ResultAnswered, Ran: 20 * time.Millisecond, Load: load})
 	}
-	member, _ := b.Choose(now, "s", "r", nil)
+	member, _ := b.Choose(now, sdbalance.Call{Service: "s", Route: "r"}, nil)
 	is.Equal(member.Node, savorydeal.NodeID("n1"))
 	pressure, ok := b.Pressure(now, "s")
 	is.True(ok)
@@ -128,10 +128,10 @@
 	is := is.New(t)
 	b := newBalancer(members(2))
 	b.Observe(start, sdbalance.Observation{Node: "n1", Route: "r", Result: sdbalance.ResultUnreachable})
-	_, ok := b.Choose(start, "s", "r", []savorydeal.NodeID{"n0"})
+	_, ok := b.Choose(start, sdbalance.Call{Service: "s", Route: "r"}, []savorydeal.NodeID{"n0"})
 	is.True(!ok)
 	b.Observe(start, sdbalance.Observation{Node: "n0", Route: "r", Result: sdbalance.ResultUnreachable})
-	_, ok = b.Choose(start, "s", "r", nil)
+	_, ok = b.Choose(start, sdbalance.Call{Service: "s", Route: "r"}, nil)
 	is.True(ok)
 }
 
@@ -141,11 +141,41 @@
 	b := newBalancer(members(2))
 	b.SetSilent("n0", true)
 	for range 20 {
-		member, ok := b.Choose(start, "s", "r", nil)
+		member, ok := b.Choose(start, sdbalance.Call{Service: "s", Route: "r"}, nil)
 		is.True(ok)
 		is.Equal(member.Node, savorydeal.NodeID("n1"))
 	}
 	b.SetSilent("n1", true)
-	_, ok := b.Choose(start, "s", "r", nil)
+	_, ok := b.Choose(start, sdbalance.Call{Service: "s", Route: "r"}, nil)
 	is.True(ok)
 }
+
+// Calls with time to spare stay in their data centre; calls without go where
+// they are quickest.
+func TestWayIsPricedWhileThereIsTime(t *testing.T) {
+	for _, c := range []struct {
+		objective time.Duration
+		stays     bool
+	}{{time.Second, true}, {60 * time.Millisecond, false}} {
+		is := is.New(t)
+		list := members(2)
+		list[1].DataCentre = "there"
+		b := newBalancer(list)
+		now := start
+		for range 200 {
+			for node, ran := range map[savorydeal.NodeID]time.Duration{"n0": 50 * time.Millisecond, "n1": 40 * time.Millisecond} {
+				b.Observe(now, sdbalance.Observation{Node: node, Route: "r", Result: sdbalance.ResultAnswered, Ran: ran, Load: sdbalance.Load{Running: 1, Limit: 50}})
+			}
+		}
+		here := 0
+		for range 100 {
+			member, ok := b.Choose(now, sdbalance.Call{Service: "s", Route: "r", Objective: c.objective}, nil)
+			is.True(ok)
+			if member.Node == "n0" {
+				here++
+			}
+			b.Observe(now, sdbalance.Observation{Node: member.Node, Route: "r", Result: sdbalance.ResultAbandoned})
+		}
+		is.Equal(here > 50, c.stays)
+	}
+}
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -84,10 +84,11 @@
 func (n *Node) choose(r *request, step sdattempt.Step, tried, reached []savorydeal.NodeID) (savorydeal.Member, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	call := sdbalance.Call{Service: r.service, Route: r.route.Name, Objective: r.route.LatencyObjective}
 	if step == sdattempt.StepSame {
-		return n.balancer.Again(n.clock.Now(), r.service, r.route.Name, reached)
+		return n.balancer.Again(n.clock.Now(), call, reached)
 	}
-	return n.balancer.Choose(n.clock.Now(), r.service, r.route.Name, tried)
+	return n.balancer.Choose(n.clock.Now(), call, tried)
 }
 
 // awaitTarget waits a little for a target: a node that has just started learns
