Requests that crash their targets are known to all nodes of the service

Cause: a request that crashes the target which runs it came again at any node and reached one target after the other; the bound of targets holds for one caller's attempt only. Change: a run whose connection ends without an answer is suspect if its target's address then takes no connection; the word goes to the nodes of the service (sdpoison, as in the product's own wiring), which refuse the request from its second crash on; an answer clears it. Runs that break off together are looked at once. Found on the way: (1) a repeatable run that was sent again on a fresh connection counted as not run if that connection could not be opened, though the first sending may have run; so one attempt crashed four targets with maxAttempts 2. (2) a target's node that refuses what crashes targets counted as unreachable and was left out. Test: TestCrashingRequest; before: four targets crashed.

--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -209,6 +209,45 @@
 	}
 }
 
+// A request that crashes the targets that run it is stopped after the second, at
+// whatever node it comes again, and takes no other request with it.
+func TestCrashingRequest(t *testing.T) {
+	for _, path := range []string{"/look/crash", "/sign/crash"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			estate, ctx := start(t)
+			for _, vm := range estate.VMs {
+				vm.App.Fail(func(id string) sdstandapp.Failure {
+					if strings.HasPrefix(id, "crash") && !strings.Contains(id, ".") {
+						return sdstandapp.FailureCrash
+					}
+					return sdstandapp.FailureNone
+				})
+			}
+			last := sdestate.Answer{}
+			for i := range 8 {
+				last = estate.Do(ctx, estate.VMs[i%len(estate.VMs)], sdestate.Request{ID: fmt.Sprintf("crash%d", i), Path: path})
+				is.NoErr(last.Err)
+				is.True(last.Status != http.StatusOK)
+				time.Sleep(100 * time.Millisecond)
+			}
+			crashed := make(map[string]bool)
+			for id, runs := range runsOf(estate) {
+				for _, run := range runs {
+					if strings.HasPrefix(id, "crash") && run.Service == "desk" {
+						crashed[run.Target] = true
+					}
+				}
+			}
+			is.Equal(len(crashed), 2)
+			is.Equal(last.Status, http.StatusServiceUnavailable)
+			for _, answer := range load(ctx, estate, path[:6]+"other", "o", 40) {
+				is.Equal(answer.Status, http.StatusOK)
+			}
+		})
+	}
+}
+
 // A planned stop of a node cuts no request, whoever sent it.
 func TestPlannedStop(t *testing.T) {
 	is := is.New(t)
--- a/internal/sdpoison/table.go
+++ b/internal/sdpoison/table.go
@@ -151,6 +151,11 @@
 	delete(t.entries, oldest)
 }
 
+// Empty reports whether no request is suspected: then none needs a fingerprint.
+func (t *Table) Empty() bool {
+	return t.size.Load() == 0
+}
+
 // Check returns the refusal of a blocked request, or nil.
 func (t *Table) Check(now time.Time, fingerprint Fingerprint) *savorydeal.Refusal {
 	if t.size.Load() == 0 {
--- a/internal/sdsidecar/join.go
+++ b/internal/sdsidecar/join.go
@@ -366,6 +366,10 @@
 		if body == nil {
 			return &sdhttp.Response{Status: http.StatusNotFound}
 		}
+	case crashesPath:
+		if err := n.takeCrashes(request.Body); err != nil {
+			return &sdhttp.Response{Status: http.StatusBadRequest}
+		}
 	case alivePath:
 	default:
 		return &sdhttp.Response{Status: http.StatusNotFound}
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -24,6 +24,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdgraph"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
+	"github.com/savorydeal/savorydeal/internal/sdpoison"
 	"github.com/savorydeal/savorydeal/internal/sdroute"
 	"github.com/savorydeal/savorydeal/platform"
 )
@@ -59,6 +60,8 @@
 	peers    peers
 	target   *targetServer
 	runs     runTable
+	poison   *sdpoison.Table
+	crashes  crashWatch
 	callers  *sdhttp.Server
 	others   *sdhttp.Server
 	metrics  *metrics
@@ -97,6 +100,7 @@
 	n.control = n.newControl()
 	n.peers.init()
 	n.runs.init()
+	n.poison = sdpoison.New()
 	n.target = newTargetServer(n)
 	n.callers = &sdhttp.Server{Handler: n.handleCaller, Limits: n.callerLimits}
 	n.others = &sdhttp.Server{Handler: n.handlePeer, Limits: peerLimits}
@@ -215,6 +219,7 @@
 	add(n.runWatch)
 	add(n.runTarget)
 	add(n.runHousekeeping)
+	add(n.runCrashExpiry)
 	add(n.runDoor)
 	add(n.runProbes)
 	add(func(ctx context.Context) error { return n.runReload(ctx, changes) })
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -43,6 +43,7 @@
 	reasonUnsigned    = "answer_not_signed"
 	reasonSilent      = "node_silent"
 	reasonOverload    = "overloaded"
+	reasonPoison      = "crashes_targets"
 )
 
 // targetServer runs calls on this VM's target.
@@ -122,6 +123,9 @@
 // serve runs a call on the target when it is its turn.
 func (s *targetServer) serve(ctx context.Context, call sdinner.Call, request *sdhttp.Request) (*sdhttp.Response, sdinner.Reply) {
 	deadline := request.Received.Add(call.Left)
+	if s.node.poisoned(call.Service, request) {
+		return s.notRun(reasonPoison)
+	}
 	if reason := s.await(ctx, call, request.Received); reason != "" {
 		return s.notRun(reason)
 	}
@@ -239,13 +243,23 @@
 	onward.Header.Set(edge.TargetIdentity, identity)
 	onward.Header.Set(edge.CallerService, call.CallerService)
 	own := func(header http.Header) bool { return header.Get(edge.RequestID) == id }
+	sent := time.Now()
 	response, err := s.pool.Do(ctx, &onward, deadline, false, own)
 	if retryFresh(err, call.Repeatable) {
-		response, err = s.pool.Do(ctx, &onward, deadline, true, own)
+		first := err
+		if response, err = s.pool.Do(ctx, &onward, deadline, true, own); err != nil && !wasSent(err) {
+			// The first sending may have run, whatever became of the second.
+			err = first
+		}
 	}
 	if err != nil {
-		return nil, s.judgeFailure(ctx, err)
+		reply := s.judgeFailure(ctx, err)
+		if reply.Verdict == sdinner.VerdictUnknown && reply.Reason == reasonBroken {
+			s.node.brokeOff(call.Service, request, time.Since(sent))
+		}
+		return nil, reply
 	}
+	s.node.runAnswered(call.Service, request)
 	return s.judgeAnswer(response)
 }
 
@@ -259,6 +273,11 @@
 	return repeatable && !errors.Is(err, context.Canceled) && !isDeadline(err)
 }
 
+func wasSent(err error) bool {
+	var failure *sdhttp.Failure
+	return !errors.As(err, &failure) || failure.Sent
+}
+
 func isDeadline(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -58,7 +58,8 @@
 		}
 		n.learn(r, response, reply)
 		reason = reply.Reason
-		last := ctx.Err() != nil || time.Until(r.deadline) < leastTry
+		// A request that crashes its targets is refused at each of them.
+		last := ctx.Err() != nil || time.Until(r.deadline) < leastTry || reason == reasonPoison
 		switch step = attempts.Next(resultOf(response, reply), last, func() bool { return n.spend(r) }); step {
 		case sdattempt.StepPass:
 			if response.Status >= http.StatusInternalServerError {
@@ -215,7 +216,8 @@
 		result = sdbalance.ResultAbandoned
 	case reply.Verdict == sdinner.VerdictRan && response.Status < http.StatusInternalServerError:
 		result = sdbalance.ResultAnswered
-	case reply.Verdict == sdinner.VerdictNotRun && reply.Reason == reasonQueue, reply.Reason == reasonDeadline:
+	case reply.Verdict == sdinner.VerdictNotRun && (reply.Reason == reasonQueue || reply.Reason == reasonPoison),
+		reply.Reason == reasonDeadline:
 		result = sdbalance.ResultRefused
 	case reply.Verdict == sdinner.VerdictNotRun && !reply.Reached:
 		result = sdbalance.ResultUnreachable
--- a/internal/sdstandapp/app.go
+++ b/internal/sdstandapp/app.go
@@ -80,6 +80,7 @@
 	mu       sync.Mutex
 	sequence int64
 	leaving  bool
+	ended    bool
 	fail     func(id string) Failure
 }
 
@@ -97,6 +98,8 @@
 	FailureCut Failure = "cut"
 	// FailureExtra sends a second answer after the first.
 	FailureExtra Failure = "extra"
+	// FailureCrash ends the target while it runs the request.
+	FailureCrash Failure = "crash"
 	// FailureShed answers that the request did not run.
 	FailureShed Failure = "shed"
 )
@@ -125,12 +128,15 @@
 
 // Close ends the target at once, as a crash does.
 func (a *App) Close() {
+	a.mu.Lock()
+	a.ended = true
+	a.mu.Unlock()
 	_ = a.server.Close()
 }
 
 // Announce sends announcements until ctx ends.
 func (a *App) Announce(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !a.hasEnded() {
 		// A node that is not up yet gets the next one.
 		_ = a.Beat(ctx)
 		select {
@@ -140,6 +146,12 @@
 	}
 }
 
+func (a *App) hasEnded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ended
+}
+
 // Leave announces that the target leaves.
 func (a *App) Leave(ctx context.Context) error {
 	a.mu.Lock()
@@ -230,6 +242,9 @@
 	}
 	body := "answer to " + id
 	switch failure {
+	case FailureCrash:
+		a.Close()
+		return
 	case FailureLost:
 		panic(http.ErrAbortHandler)
 	case FailureCut:
