--- a/internal/sdcli/command.go
+++ b/internal/sdcli/command.go
@@ -118,7 +118,7 @@
 	parser.Version = sdcommand.Version
 	parser.String(&o.admin, "a", "admin", "admin address of a node (variable "+envAdmin+")")
 	parser.String(&o.output, "o", "output", "table or json")
-	parser.AdditionalHelpAppend = "\nsavorydeal explain ID | --worst [-- FILE ...] reads nodes' log lines and needs no node." +
+	parser.AdditionalHelpAppend = "\nsavorydeal explain ID | --worst | --day [-- FILE ...] reads nodes' log lines and needs no node." +
 		"\nExit codes: 0 done, 1 failed and not made, 2 wrong words, 3 conflict, 4 fate unknown, 5 accepted but not in force in time."
 
 	policy := flaggy.NewSubcommand("policy")
--- a/internal/sdcli/explain.go
+++ b/internal/sdcli/explain.go
@@ -10,6 +10,7 @@
 
 	"github.com/savorydeal/savorydeal/internal/sdcommand"
 	"github.com/savorydeal/savorydeal/internal/sdexplain"
+	"github.com/savorydeal/savorydeal/internal/sdreport"
 )
 
 // explainCommand is the name of the subcommand that needs no node.
@@ -25,30 +26,57 @@
 	parser.Description = "tell from nodes' log lines what became of a request; files after --, else standard input"
 	parser.Version = sdcommand.Version
 	request := ""
-	worst := false
+	worst, day := false, false
 	parser.AddPositionalValue(&request, "request", 1, false, "id of the request")
 	parser.Bool(&worst, "w", "worst", "group failed and refused requests by cause instead")
+	parser.Bool(&day, "d", "day", "write a page of HTML with plots of the whole day instead")
 	if err := parser.ParseArgs(arguments); err != nil {
 		_, _ = fmt.Fprintln(stderr, "savorydeal explain:", err)
 		return sdcommand.ExitUsage
 	}
-	if worst == (request != "") {
-		_, _ = fmt.Fprintln(stderr, "savorydeal explain: name a request, or ask for --worst")
+	asked := 0
+	for _, one := range []bool{request != "", worst, day} {
+		if one {
+			asked++
+		}
+	}
+	if asked != 1 {
+		_, _ = fmt.Fprintln(stderr, "savorydeal explain: name a request, or ask for one of --worst and --day")
 		return sdcommand.ExitUsage
 	}
-	story, groups := sdexplain.NewStory(request), sdexplain.NewWorst()
-	take, write := story.Take, story.Write
-	if worst {
-		take, write = groups.Take, groups.Write
+	files := parser.TrailingArguments
+	var err error
+	switch {
+	case worst:
+		groups := sdexplain.NewWorst()
+		err = errors.Join(readLogs(files, stdin, stderr, groups.Take), groups.Write(stdout))
+	case day:
+		report := sdreport.NewDay()
+		err = errors.Join(readLogs(files, stdin, stderr, report.Take), report.Write(stdout))
+	default:
+		err = tellStory(request, files, stdin, stdout, stderr)
 	}
-	err := readLogs(parser.TrailingArguments, stdin, stderr, take)
-	if err = errors.Join(err, write(stdout)); err != nil {
+	if err != nil {
 		_, _ = fmt.Fprintln(stderr, "savorydeal explain:", err)
 		return sdcommand.ExitFailed
 	}
 	return sdcommand.ExitOK
 }
 
+// tellStory reads files twice, so that of the lines on nodes only those are kept
+// that belong to the request; standard input can be read only once.
+func tellStory(request string, files []string, stdin io.Reader, stdout, stderr io.Writer) error {
+	story := sdexplain.NewStory(request)
+	if len(files) == 0 {
+		return errors.Join(readLogs(nil, stdin, stderr, story.Take), story.Write(stdout))
+	}
+	err := readLogs(files, stdin, stderr, func(line sdexplain.Line) { story.TakeOwn(line) })
+	if err != nil {
+		return err
+	}
+	return errors.Join(readLogs(files, stdin, stderr, story.TakeNear), story.Write(stdout))
+}
+
 func readLogs(files []string, stdin io.Reader, stderr io.Writer, take func(sdexplain.Line)) error {
 	events := 0
 	counted := func(line sdexplain.Line) {
--- a/internal/sdcommand/sidecar.go
+++ b/internal/sdcommand/sidecar.go
@@ -5,15 +5,18 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdlogpipe"
 	"github.com/savorydeal/savorydeal/internal/sdsidecar"
 	"github.com/savorydeal/savorydeal/platform"
 )
@@ -22,6 +25,32 @@
 // collector works harder.
 const memoryShare = 0.6
 
+// metricsPortVariable names the port of the metrics address; without it the last
+// port between nodes serves.
+const metricsPortVariable = "SAVORYDEAL_METRICS_PORT"
+
+// withPort returns the address with another port.
+func withPort(address, port string) (string, error) {
+	number, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || number == 0 {
+		return "", fmt.Errorf("%q is not a port from 1 to 65535", port)
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", fmt.Errorf("metrics address: %w", err)
+	}
+	return net.JoinHostPort(host, port), nil
+}
+
+// lastLines bounds how long the node's end waits for its last log lines.
+const lastLines = 200 * time.Millisecond
+
+// newIncarnation names one run of the process on its log lines: its start, in
+// milliseconds, in few characters.
+func newIncarnation() string {
+	return strconv.FormatInt(time.Now().UnixMilli(), 36)
+}
+
 // RunSidecar runs the node of the users' platform. Its settings come from the
 // file that the platform names.
 func RunSidecar(environment func(string) (string, bool), stdout, stderr io.Writer) int {
@@ -35,19 +64,30 @@
 		_, _ = fmt.Fprintln(stderr, "savorydeal-node sidecar:", err)
 		return ExitUsage
 	}
+	if port, ok := environment(metricsPortVariable); ok {
+		if settings.MetricsAddress, err = withPort(settings.MetricsAddress, port); err != nil {
+			_, _ = fmt.Fprintf(stderr, "savorydeal-node sidecar: %s: %v\n", metricsPortVariable, err)
+			return ExitUsage
+		}
+	}
 	level, ok := environment("SAVORYDEAL_LOG_LEVEL")
 	if !ok {
 		level = "info"
 	}
 	ctx, stop := stopSignals(stderr)
 	defer stop()
-	log := NewLogger("savorydeal-node", level, stdout).With("node", settings.Node)
+	// A log whose reader has gone must not end the node.
+	signal.Ignore(syscall.SIGPIPE)
+	pipe := sdlogpipe.New(stdout)
+	defer pipe.Close(lastLines)
+	log := NewLogger("savorydeal-node", level, pipe).With("node", settings.Node, "incarnation", newIncarnation())
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	node, err := sdsidecar.New(settings, sdclock.System{}, log)
 	if err == nil {
+		node.CountLogPipe(pipe.Dropped, pipe.Failed)
 		err = node.Run(ctx, watchSettings(ctx, path, log))
 	}
 	if err != nil {
--- a/internal/sdcommand/sidecar_test.go
+++ b/internal/sdcommand/sidecar_test.go
@@ -59,3 +59,21 @@
 	is.Equal(RunSidecar(func(string) (string, bool) { return path, true }, &out, &errs), ExitUsage)
 	is.True(bytes.Contains(errs.Bytes(), []byte("appAddr is missing")))
 }
+
+// The metrics port is checked at the start.
+func TestMetricsPort(t *testing.T) {
+	is := is.New(t)
+	address, err := withPort("127.0.0.1:6", "9464")
+	is.NoErr(err)
+	is.Equal(address, "127.0.0.1:9464")
+	for _, port := range []string{"", "0", "x", "65536", "-1"} {
+		_, err := withPort("127.0.0.1:6", port)
+		is.True(err != nil)
+	}
+	path := filepath.Join(t.TempDir(), "boot.json")
+	is.NoErr(os.WriteFile(path, settingsText("0.2"), 0o600))
+	var out, errs bytes.Buffer
+	environment := map[string]string{platform.SettingsVariable: path, metricsPortVariable: "http"}
+	is.Equal(RunSidecar(func(name string) (string, bool) { value, ok := environment[name]; return value, ok }, &out, &errs), ExitUsage)
+	is.True(bytes.Contains(errs.Bytes(), []byte(metricsPortVariable)))
+}
--- a/internal/sddoor/door.go
+++ b/internal/sddoor/door.go
@@ -96,6 +96,15 @@
 	return s.Pressure, true
 }
 
+// Age is the time since the last word on a service, 0 if there was none.
+func (d *Door) Age(now time.Time, name string) time.Duration {
+	s := d.services[name]
+	if s == nil {
+		return 0
+	}
+	return now.Sub(s.at)
+}
+
 // Tick moves the door.
 func (d *Door) Tick(now time.Time) {
 	if d.ticked.IsZero() {
--- a/internal/sdexplain/story.go
+++ b/internal/sdexplain/story.go
@@ -15,6 +15,9 @@
 	around = 2 * time.Second
 	// maxAround bounds those events.
 	maxAround = 40
+	// maxKept bounds the lines on nodes that are kept of input that can be read
+	// only once: some 30 MB.
+	maxKept = 100_000
 )
 
 // Story is what the lines tell of one request and its calls.
@@ -22,6 +25,8 @@
 	id    string
 	own   []Line
 	other []Line
+	// oldest is the place of the oldest line in other once that is full.
+	oldest int
 }
 
 // NewStory returns the story of the request with the id.
@@ -29,15 +34,66 @@
 	return &Story{id: id}
 }
 
-// Take takes a line: those of the request and its calls, and those that tell of
-// a node and not of a request.
+// TakeOwn takes a line of the request and its calls, and passes over others. It
+// reports whether the line was one.
+func (s *Story) TakeOwn(line Line) bool {
+	request := line.Get("request")
+	if request != s.id && !strings.HasPrefix(request, s.id+".") {
+		return false
+	}
+	s.own = append(s.own, line)
+	return true
+}
+
+// TakeNear takes, once all of the request's lines are taken, a line that tells
+// of a node that the request met, about the time when it met it.
+func (s *Story) TakeNear(line Line) {
+	if line.Get("request") == "" && len(s.own) > 0 && s.near(line) {
+		s.other = append(s.other, line)
+	}
+}
+
+// Take takes a line where the lines can be read only once: of those that tell
+// of nodes the last ones are kept.
 func (s *Story) Take(line Line) {
-	switch request := line.Get("request"); {
-	case request == s.id || strings.HasPrefix(request, s.id+"."):
-		s.own = append(s.own, line)
-	case request == "":
+	if s.TakeOwn(line) || line.Get("request") != "" {
+		return
+	}
+	if len(s.other) < maxKept {
 		s.other = append(s.other, line)
+		return
+	}
+	s.other[s.oldest] = line
+	s.oldest = (s.oldest + 1) % maxKept
+}
+
+// near reports whether a line tells of a node that the request met.
+func (s *Story) near(line Line) bool {
+	first, last := s.span()
+	if line.At.Before(first.Add(-around)) || line.At.After(last.Add(around)) {
+		return false
+	}
+	for _, own := range s.own {
+		for _, met := range []string{own.Node, own.Get("peer")} {
+			if met != "" && (met == line.Node || met == line.Get("peer") || met == line.Get("member")) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *Story) span() (first, last time.Time) {
+	first, last = s.own[0].At, s.own[0].At
+	for _, line := range s.own {
+		if line.At.Before(first) {
+			first = line.At
+		}
+		if line.At.After(last) {
+			last = line.At
+		}
 	}
+	return first, last
 }
 
 // Write writes the request's lines as a timeline, with what changed meanwhile at
@@ -47,19 +103,10 @@
 		_, err := fmt.Fprintf(out, "no line names request %s: it was answered at the first try, or its lines were left out (see lines_left_out)\n", s.id)
 		return err
 	}
-	slices.SortStableFunc(s.own, byTime)
-	first, last := s.own[0].At, s.own[len(s.own)-1].At
-	met := make(map[string]bool)
-	for _, line := range s.own {
-		met[line.Node] = true
-		if peer := line.Get("peer"); peer != "" {
-			met[peer] = true
-		}
-	}
+	first, _ := s.span()
 	lines := slices.Clone(s.own)
 	for _, line := range s.other {
-		near := !line.At.Before(first.Add(-around)) && !line.At.After(last.Add(around))
-		if near && (met[line.Node] || met[line.Get("peer")] || met[line.Get("member")]) && len(lines)-len(s.own) < maxAround {
+		if len(lines)-len(s.own) < maxAround && s.near(line) {
 			lines = append(lines, line)
 		}
 	}
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -111,11 +111,17 @@
 		n.tellVersion(c, from)
 	case mark.version == c.config.Version:
 		if at := n.clock.Now().Add(-mark.age); at.After(c.confirmedAt) {
-			c.confirmedAt = at
+			n.confirm(c, at)
 		}
 	}
 }
 
+// confirm notes when the configuration in force was last found to be newest.
+func (n *Node) confirm(c *control, at time.Time) {
+	c.confirmedAt = at
+	n.confirmedAt.Store(at.UnixNano())
+}
+
 // tellVersion tells a node the version in force here; it fetches what it lacks.
 func (n *Node) tellVersion(c *control, to string) {
 	n.send(c, []sdroster.Packet{{To: to, Message: sdroster.Message{Kind: sdroster.KindGossip, Self: c.roster.Self()}}})
--- a/internal/sdsidecar/entry.go
+++ b/internal/sdsidecar/entry.go
@@ -75,7 +75,9 @@
 	if response == nil {
 		response = n.carry(ctx, r)
 	}
-	n.metrics.observe(r, response.Status, time.Since(received.Received))
+	took := time.Since(received.Received)
+	n.metrics.observe(r, response.Status, took)
+	n.traffic.note(r, response.Status, took)
 	return response
 }
 
@@ -96,6 +98,7 @@
 func (n *Node) refuse(r *request, reason string) *sdhttp.Response {
 	left := time.Until(r.deadline)
 	wait := min(leastWait+time.Duration(n.randomShare()*float64(waitSpread)), time.Duration(callerShare*float64(left)))
+	n.metrics.refusals.WithLabelValues(reason).Inc()
 	n.log.Request("request refused", "request", r.id, "route", r.route.Name, "service", r.service, "rank", r.rank,
 		"depth", r.depth, "reason", reason, "left", left)
 	return n.refusal(http.StatusServiceUnavailable, max(0, wait))
--- /dev/null
+++ b/internal/sdsidecar/events_test.go
@@ -0,0 +1,133 @@
+package sdsidecar
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// eventsPage lists every event of the node's log.
+const eventsPage = "../../docs/EVENTS.md"
+
+// loggedEvents finds the log calls of the node's code: event, level, fields.
+func loggedEvents(t *testing.T) map[string]string {
+	t.Helper()
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := make(map[string]string)
+	for _, name := range append(files, "../sdcommand/sidecar.go") {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			call, ok := node.(*ast.CallExpr)
+			if !ok || len(call.Args) == 0 {
+				return true
+			}
+			level, logs := loggerCall(call)
+			event, literal := stringOf(call.Args[0])
+			if !logs || !literal {
+				return true
+			}
+			var fields []string
+			for i := 1; i < len(call.Args); i += 2 {
+				if field, ok := stringOf(call.Args[i]); ok {
+					fields = append(fields, field)
+				}
+			}
+			events[event] = fmt.Sprintf("| `%s` | %s | %s |", event, level, strings.Join(fields, ", "))
+			return true
+		})
+	}
+	return events
+}
+
+// loggerCall returns the level of a call of a log's method.
+func loggerCall(call *ast.CallExpr) (level string, ok bool) {
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return "", false
+	}
+	holder := ""
+	switch x := method.X.(type) {
+	case *ast.SelectorExpr:
+		holder = x.Sel.Name
+	case *ast.Ident:
+		holder = x.Name
+	}
+	levels := map[string]string{"Debug": "debug", "Info": "info", "Warn": "warn", "Error": "error", "Request": "info, bounded"}
+	level, known := levels[method.Sel.Name]
+	return level, known && holder == "log"
+}
+
+func stringOf(expression ast.Expr) (string, bool) {
+	literal, ok := expression.(*ast.BasicLit)
+	if !ok || literal.Kind != token.STRING {
+		return "", false
+	}
+	text, err := strconv.Unquote(literal.Value)
+	return text, err == nil
+}
+
+// The page of events names each event of the code with its level and fields,
+// and no other.
+func TestEventsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(eventsPage)
+	is.NoErr(err)
+	events := loggedEvents(t)
+	is.True(len(events) > 40)
+	for _, event := range slices.Sorted(maps.Keys(events)) {
+		if !strings.Contains(string(page), events[event]) {
+			t.Errorf("docs/EVENTS.md lacks a row that begins with\n%s", events[event])
+		}
+	}
+	table, _, _ := strings.Cut(string(page), "## Reasons")
+	for line := range strings.Lines(table) {
+		name, found := strings.CutPrefix(line, "| `")
+		if !found {
+			continue
+		}
+		name, _, _ = strings.Cut(name, "`")
+		if _, ok := events[name]; !ok {
+			t.Errorf("docs/EVENTS.md names the event %q, which no code logs", name)
+		}
+	}
+}
+
+// The page names each reason of the code, and no other.
+func TestReasonsOfThePage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(eventsPage)
+	is.NoErr(err)
+	_, table, found := strings.Cut(string(page), "## Reasons")
+	is.True(found)
+	var named []string
+	for line := range strings.Lines(table) {
+		if name, ok := strings.CutPrefix(line, "| `"); ok {
+			name, _, _ = strings.Cut(name, "`")
+			named = append(named, name)
+		}
+	}
+	reasons := []string{
+		reasonNoTarget, reasonLeaving, reasonWrongNode, reasonQueue, reasonOverload, reasonDeadline, reasonCanceled,
+		reasonRefused, reasonUnreachable, reasonBroken, reasonUnsigned, reasonSilent, reasonPoison,
+	}
+	is.Equal(named, reasons)
+}
--- a/internal/sdsidecar/join.go
+++ b/internal/sdsidecar/join.go
@@ -143,7 +143,7 @@
 				n.applyConfig(c, object.Value, "store")
 			}
 		}
-		c.confirmedAt = n.clock.Now()
+		n.confirm(c, n.clock.Now())
 	})
 	// A lagging answer must not make the next watch begin earlier.
 	return max(revision, list.Revision), nil
--- a/internal/sdsidecar/metrics.go
+++ b/internal/sdsidecar/metrics.go
@@ -26,6 +26,8 @@
 	configVersion prometheus.Gauge
 	eventsDropped prometheus.Counter
 	linesDropped  prometheus.Counter
+	refusals      *prometheus.CounterVec
+	tries         *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -47,7 +49,13 @@
 		eventsDropped: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "control_events_dropped_total", Help: "Control events that came faster than they were taken."}),
 		linesDropped:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines left out since there were too many."}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.storeCalls, m.members, m.targets, m.configVersion, m.eventsDropped, m.linesDropped,
+	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "refusals_total", Help: "Requests that this node refused, by reason.",
+	}, []string{"reason"})
+	m.tries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "tries_total", Help: "Tries that ended, by service and verdict.",
+	}, []string{"service", "verdict"})
+	m.registry.MustRegister(m.refusals, m.tries, m.requests, m.seconds, m.storeCalls, m.members, m.targets, m.configVersion, m.eventsDropped, m.linesDropped,
 		collectors.NewGoCollector())
 	return m
 }
@@ -79,6 +87,10 @@
 	gauge("target_running", "Calls on the target.", queue(func(s *targetServer) int { return s.queue.Running() }))
 	gauge("target_queued", "Calls that wait for the target.", queue(func(s *targetServer) int { return s.queue.Waiting() }))
 	gauge("target_limit", "Calls that the target may run at once.", queue(func(s *targetServer) int { return s.queue.Limit() }))
+	gauge("config_age_seconds", "Time since a node, as far as this one knows, read the store and found nothing newer.", func() float64 {
+		return n.clock.Now().Sub(time.Unix(0, n.confirmedAt.Load())).Seconds()
+	})
+	n.metrics.registry.MustRegister(serviceCollector{node: n})
 	gauge("callers_active", "Requests of callers under way.", func() float64 { return float64(n.callers.Active()) })
 }
 
@@ -98,3 +110,66 @@
 	}
 	return &sdhttp.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {string(format)}}, Body: text.Bytes()}
 }
+
+// serviceCollector tells what the node's decisions hold of each service.
+type serviceCollector struct {
+	node *Node
+}
+
+var (
+	doorLevelDesc  = serviceDesc("door_level", "Ranks that the door refuses for the service, the last one in part.")
+	loadDesc       = serviceDesc("service_load", "Calls that run or wait at the service, as a share of its places.")
+	demandDesc     = serviceDesc("service_demand", "Share of the service's places that arrivals would take.")
+	budgetLeftDesc = serviceDesc("retry_budget_left", "Repeats that this node may still send to the service.")
+)
+
+func serviceDesc(name, help string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"service"}, nil)
+}
+
+// Describe implements prometheus.Collector.
+func (c serviceCollector) Describe(descs chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{doorLevelDesc, loadDesc, demandDesc, budgetLeftDesc} {
+		descs <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c serviceCollector) Collect(metrics chan<- prometheus.Metric) {
+	table := c.node.routes.Load()
+	if table == nil {
+		return
+	}
+	now := c.node.clock.Now()
+	gauge := func(desc *prometheus.Desc, value float64, service string) {
+		metrics <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, service)
+	}
+	for _, service := range table.Config().Services {
+		c.node.mu.Lock()
+		level := c.node.door.Level(service.Name)
+		pressure, known := c.node.door.Pressure(now, service.Name)
+		left := c.node.budget.Left(now, service.Name)
+		c.node.mu.Unlock()
+		gauge(doorLevelDesc, level, service.Name)
+		gauge(budgetLeftDesc, left, service.Name)
+		if known {
+			gauge(loadDesc, pressure.Load, service.Name)
+			gauge(demandDesc, pressure.Demand, service.Name)
+		}
+	}
+}
+
+// CountLogPipe adds the counts of what the log's output has lost.
+func (n *Node) CountLogPipe(dropped, failed func() int64) {
+	for _, c := range []struct {
+		name, help string
+		read       func() int64
+	}{
+		{"log_pipe_dropped_total", "Log lines that found no room since the log's reader is slow or gone.", dropped},
+		{"log_pipe_failed_total", "Writes that the log's output refused.", failed},
+	} {
+		n.metrics.registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: namespace, Name: c.name, Help: c.help}, func() float64 { return float64(c.read()) },
+		))
+	}
+}
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -45,6 +45,8 @@
 	control control
 	socket  *sdgossip.Socket
 	routes  atomic.Pointer[sdroute.Table]
+	// confirmedAt mirrors control's for metrics, in Unix nanoseconds.
+	confirmedAt atomic.Int64
 	// watchRank is the place of this node among the nodes of its data centre
 	// that may watch the store.
 	watchRank atomic.Int64
@@ -65,6 +67,7 @@
 	callers  *sdhttp.Server
 	others   *sdhttp.Server
 	metrics  *metrics
+	traffic  traffic
 	stopping atomic.Bool
 	aborted  chan struct{}
 	abort    sync.Once
@@ -220,6 +223,7 @@
 	add(n.runTarget)
 	add(n.runHousekeeping)
 	add(n.runCrashExpiry)
+	add(n.runTraffic)
 	add(n.runDoor)
 	add(n.runProbes)
 	add(func(ctx context.Context) error { return n.runReload(ctx, changes) })
--- a/internal/sdsidecar/pressure.go
+++ b/internal/sdsidecar/pressure.go
@@ -61,11 +61,14 @@
 	}
 	service, refused := n.door.Refuses(r.rank, r.service, n.graph.Calls(now, r.route.Name), n.random.Float64())
 	level := n.door.Level(service)
+	pressure, _ := n.door.Pressure(now, service)
+	age := n.door.Age(now, service)
 	n.mu.Unlock()
 	if !refused {
 		return nil
 	}
-	n.log.Request("refused at the door", "request", r.id, "route", r.route.Name, "rank", r.rank, "service", service, "level", level)
+	n.log.Request("refused at the door", "request", r.id, "route", r.route.Name, "rank", r.rank, "service", service,
+		"level", level, "load", pressure.Load, "demand", pressure.Demand, "word_age", age)
 	return n.refuse(r, reasonOverload)
 }
 
--- /dev/null
+++ b/internal/sdsidecar/traffic.go
@@ -0,0 +1,93 @@
+package sdsidecar
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// trafficEvery is the time between two lines on the traffic of each route and
+// on the node's state: requests that go well at the first try have no line of
+// their own.
+const trafficEvery = 2 * time.Second
+
+// routeTraffic counts the callers' requests of one route since the last line.
+type routeTraffic struct {
+	answered, refused, failed int
+	// late is the part of answered beyond the route's latency objective.
+	late int
+}
+
+type traffic struct {
+	mu     sync.Mutex
+	routes map[string]*routeTraffic
+}
+
+func (t *traffic) note(r *request, status int, took time.Duration) {
+	if r.depth > 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.routes == nil {
+		t.routes = make(map[string]*routeTraffic)
+	}
+	counts := t.routes[r.route.Name]
+	if counts == nil {
+		counts = &routeTraffic{}
+		t.routes[r.route.Name] = counts
+	}
+	switch {
+	case status == http.StatusServiceUnavailable:
+		counts.refused++
+	case status >= http.StatusInternalServerError:
+		counts.failed++
+	default:
+		counts.answered++
+		if took > r.route.LatencyObjective {
+			counts.late++
+		}
+	}
+}
+
+func (t *traffic) take() map[string]*routeTraffic {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	routes := t.routes
+	t.routes = nil
+	return routes
+}
+
+// runTraffic writes what came of the traffic, and the node's state.
+func (n *Node) runTraffic(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.sleep(ctx, trafficEvery)
+		routes := n.traffic.take()
+		for _, name := range slices.Sorted(maps.Keys(routes)) {
+			counts := routes[name]
+			n.log.Info("traffic", "route", name, "answered", counts.answered, "late", counts.late, "refused", counts.refused, "failed", counts.failed)
+		}
+		n.target.mu.Lock()
+		load := n.target.load()
+		n.target.mu.Unlock()
+		members, version := 0, uint64(0)
+		var confirmedAgo time.Duration
+		err := n.do(ctx, func(c *control) {
+			version, confirmedAgo = c.config.Version, n.clock.Now().Sub(c.confirmedAt)
+			for _, member := range c.members {
+				if isLive(member) {
+					members++
+				}
+			}
+		})
+		if err != nil {
+			return nil
+		}
+		n.log.Info("state", "running", load.Running, "queued", load.Queued, "limit", load.Limit, "demand", load.Demand,
+			"members", members, "version", version, "confirmed_ago", confirmedAgo.Round(time.Millisecond))
+	}
+	return nil
+}
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -222,6 +222,7 @@
 	case reply.Verdict == sdinner.VerdictNotRun && !reply.Reached:
 		result = sdbalance.ResultUnreachable
 	}
+	n.metrics.tries.WithLabelValues(r.service, string(reply.Verdict)).Inc()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.balancer.Observe(n.clock.Now(), sdbalance.Observation{
