A sending whose answer is lost is a try and is charged to the budget

A target's node sent a repeatable call again on a fresh connection if the kept one ended without an answer, as it would for the race with an idle close. Targets that lose answers by a reset look the same; these sendings were charged to nobody and did not count as tries, with all the calls below them. Ruled out: the learned fan-out (charged at the entry for each try), calls as base (27,694 requests, as the nodes count). Change: no second sending at the target's node; the first node decides on it as on any other try. Connections are still looked at before use, so the race is rare, and it then costs a try.

--- a/internal/sdestate/estate_test.go
+++ b/internal/sdestate/estate_test.go
@@ -248,6 +248,31 @@
 	}
 }
 
+// A sending whose answer is lost is a try, whatever connection it went over: no
+// request comes to its targets more often than its route allows.
+func TestLostAnswersCountAsTries(t *testing.T) {
+	is := is.New(t)
+	estate, ctx := start(t)
+	load(ctx, estate, "/entry/", "warm", 60)
+	for _, vm := range estate.VMs {
+		vm.App.Fail(func(id string) sdstandapp.Failure {
+			if strings.HasPrefix(id, "lost") {
+				return sdstandapp.FailureLost
+			}
+			return sdstandapp.FailureNone
+		})
+	}
+	load(ctx, estate, "/entry/", "lost", 60)
+	most := 0
+	for id, runs := range runsOf(estate) {
+		if strings.HasPrefix(id, "lost") {
+			most = max(most, len(runs))
+		}
+	}
+	is.True(most > 0)
+	is.True(most <= 2) // the route's bound of targets
+}
+
 // A planned stop of a node cuts no request, whoever sent it.
 func TestPlannedStop(t *testing.T) {
 	is := is.New(t)
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -245,13 +245,6 @@
 	own := func(header http.Header) bool { return header.Get(edge.RequestID) == id }
 	sent := time.Now()
 	response, err := s.pool.Do(ctx, &onward, deadline, false, own)
-	if retryFresh(err, call.Repeatable) {
-		first := err
-		if response, err = s.pool.Do(ctx, &onward, deadline, true, own); err != nil && !wasSent(err) {
-			// The first sending may have run, whatever became of the second.
-			err = first
-		}
-	}
 	if err != nil {
 		reply := s.judgeFailure(ctx, err)
 		if reply.Verdict == sdinner.VerdictUnknown && reply.Reason == reasonBroken {
@@ -263,21 +256,6 @@
 	return s.judgeAnswer(response)
 }
 
-// retryFresh reports whether the target has most likely closed an idle
-// connection under the request.
-func retryFresh(err error, repeatable bool) bool {
-	var failure *sdhttp.Failure
-	if !errors.As(err, &failure) || !failure.Reused || failure.Answered {
-		return false
-	}
-	return repeatable && !errors.Is(err, context.Canceled) && !isDeadline(err)
-}
-
-func wasSent(err error) bool {
-	var failure *sdhttp.Failure
-	return !errors.As(err, &failure) || failure.Sent
-}
-
 func isDeadline(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
