Promises are checked inside the node of the users' platform; dead code out

Cause: the invariants of the program stood in the product's own wiring only. Change: not-run is true, no repeat of what may have run, targets within the route's bound, newer versions only, no start after the leaving was acknowledged, and time that only shrinks (a new invariant) are checked from what happened, apart from the decisions; counted in metrics, logged as an event in service, a panic in tests. sdbalance.Size and a field of sdinstance had no reader. Tests: TestPromisesBite shows that each check sees its fault.

--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -153,11 +153,6 @@
 	}
 }
 
-// Size is the number of usable targets of a service.
-func (b *Balancer) Size(service string) int {
-	return len(b.services[service])
-}
-
 // Call is what a choice depends on.
 type Call struct {
 	Service string
--- a/internal/sdcommand/sidecar.go
+++ b/internal/sdcommand/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 	"github.com/savorydeal/savorydeal/internal/sdlogpipe"
 	"github.com/savorydeal/savorydeal/internal/sdsidecar"
 	"github.com/savorydeal/savorydeal/platform"
@@ -81,6 +82,9 @@
 	pipe := sdlogpipe.New(stdout)
 	defer pipe.Close(lastLines)
 	log := NewLogger("savorydeal-node", level, pipe).With("node", settings.Node, "incarnation", newIncarnation())
+	sdinvariant.SetReport(func(v sdinvariant.Violation) {
+		log.Error("invariant broken", "invariant", v.Name, "detail", v.Detail)
+	})
 	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
--- a/internal/sdinstance/tracker.go
+++ b/internal/sdinstance/tracker.go
@@ -38,8 +38,6 @@
 	state   State
 	// known is false until the first announcement.
 	known bool
-	// probed is set while the identity comes from the target's health answer.
-	probed bool
 }
 
 // New returns a tracker of the service's target at the address.
@@ -63,7 +61,6 @@
 	}
 	sameStart := t.known && beat.Started == last.Started && beat.Identity == last.Identity
 	t.known = true
-	t.probed = false
 	t.state.Beat = beat
 	switch {
 	case sameStart && !t.state.LeftAt.IsZero():
@@ -114,7 +111,6 @@
 	if t.known || identity == "" {
 		return false
 	}
-	t.probed = true
 	t.state = State{Target: savorydeal.TargetReady, Since: now, Beat: savorydeal.Beat{
 		Identity: identity, Service: t.service, Address: t.address, Slots: slots,
 	}}
--- a/internal/sdinvariant/all.go
+++ b/internal/sdinvariant/all.go
@@ -52,6 +52,11 @@
 		Promise:  "A target that is leaving receives no new work after a few seconds.",
 		Mutation: "a placement that chooses a leaving target, or one of another service",
 	}
+	TimeShrinks = &Invariant{
+		Name:     "time_shrinks",
+		Promise:  "Retries for one caller's request stay within a fixed bound across the whole chain.",
+		Mutation: "a target that is told more time than the caller has",
+	}
 	ClassOrder = &Invariant{
 		Name:     "class_order",
 		Promise:  "Sign-offs, bookings and payments are refused only after less important lookups and catalogue views.",
@@ -68,6 +73,6 @@
 func All() []*Invariant {
 	return []*Invariant{
 		AtMostOnce, NoRepeatAfterUnknown, NotRunIsTrue, OneVerdict, RetryBound, WholeAnswer, AnswerToOwnRequest,
-		NoVersionReversal, NoWorkWhenLeaving, RoutableTarget, ClassOrder, AdmissionBound,
+		NoVersionReversal, NoWorkWhenLeaving, RoutableTarget, TimeShrinks, ClassOrder, AdmissionBound,
 	}
 }
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -194,6 +194,9 @@
 	if config.Version <= c.config.Version && n.routes.Load() != nil {
 		return
 	}
+	if n.routes.Load() != nil {
+		checkVersion(n.routes.Load().Config().Version, config.Version)
+	}
 	c.config, c.raw = config, raw
 	n.routes.Store(sdroute.NewTable(config))
 	n.setPriorities(config)
--- a/internal/sdsidecar/entry.go
+++ b/internal/sdsidecar/entry.go
@@ -37,8 +37,7 @@
 	deadline time.Time
 	// parent is the run that made this call; nil for a caller's request.
 	parent *runInfo
-	// tries is the number of targets that were reached.
-	tries int
+	sending sending
 }
 
 // handleCaller answers callers and the calls of this VM's target.
@@ -98,6 +97,7 @@
 func (n *Node) refuse(r *request, reason string) *sdhttp.Response {
 	left := time.Until(r.deadline)
 	wait := min(leastWait+time.Duration(n.randomShare()*float64(waitSpread)), time.Duration(callerShare*float64(left)))
+	checkRefusal(r)
 	n.metrics.refusals.WithLabelValues(reason).Inc()
 	n.log.Request("request refused", "request", r.id, "route", r.route.Name, "service", r.service, "rank", r.rank,
 		"depth", r.depth, "reason", reason, "left", left)
--- a/internal/sdsidecar/metrics.go
+++ b/internal/sdsidecar/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/common/expfmt"
 
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
 )
 
 const namespace = "savorydeal"
@@ -56,7 +57,7 @@
 		Namespace: namespace, Name: "tries_total", Help: "Tries that ended, by service and verdict.",
 	}, []string{"service", "verdict"})
 	m.registry.MustRegister(m.refusals, m.tries, m.requests, m.seconds, m.storeCalls, m.members, m.targets, m.configVersion, m.eventsDropped, m.linesDropped,
-		collectors.NewGoCollector())
+		collectors.NewGoCollector(), sdinvariant.Collector{})
 	return m
 }
 
--- a/internal/sdsidecar/pressure.go
+++ b/internal/sdsidecar/pressure.go
@@ -74,9 +74,6 @@
 
 // learn takes what the end of a try tells of the services below and their load.
 func (n *Node) learn(r *request, response *sdhttp.Response, reply sdinner.Reply) {
-	if reply.Reached {
-		r.tries++
-	}
 	if r.parent != nil && (reply.Reached || len(reply.Below) > 0) {
 		r.parent.note(r.service, 1, reply.Below)
 	}
--- /dev/null
+++ b/internal/sdsidecar/promises_test.go
@@ -0,0 +1,41 @@
+package sdsidecar
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdinner"
+	"github.com/savorydeal/savorydeal/internal/sdinstance"
+	"github.com/savorydeal/savorydeal/internal/sdinvariant"
+)
+
+func requestThatMayHaveRun(kind savorydeal.RouteKind) *request {
+	r := &request{id: "1", route: &savorydeal.Route{Name: "r", Kind: kind, MaxTargets: 1}}
+	r.sending.note("n1", sdinner.Reply{Verdict: sdinner.VerdictUnknown, Reached: true})
+	return r
+}
+
+// Each check sees the fault that it is there for, and nothing in what is allowed.
+func TestPromisesBite(t *testing.T) {
+	is := is.New(t)
+	is.True(sdinvariant.NotRunIsTrue.Bites(func() { checkRefusal(requestThatMayHaveRun(savorydeal.RouteIdempotent)) }))
+	is.True(sdinvariant.NoRepeatAfterUnknown.Bites(func() { checkTry(requestThatMayHaveRun(savorydeal.RouteNonIdempotent)) }))
+	is.True(!sdinvariant.NoRepeatAfterUnknown.Bites(func() { checkTry(requestThatMayHaveRun(savorydeal.RouteIdempotent)) }))
+	is.True(sdinvariant.RetryBound.Bites(func() {
+		r := requestThatMayHaveRun(savorydeal.RouteIdempotent)
+		r.sending.note("n2", sdinner.Reply{Verdict: sdinner.VerdictUnknown, Reached: true})
+		checkTry(r)
+	}))
+	is.True(sdinvariant.NoVersionReversal.Bites(func() { checkVersion(8, 7) }))
+	left := time.Unix(1000, 0)
+	state := sdinstance.State{Target: savorydeal.TargetLeaving, LeftAt: left}
+	is.True(sdinvariant.NoWorkWhenLeaving.Bites(func() { checkStart(state, left.Add(time.Second), left.Add(time.Second)) }))
+	is.True(!sdinvariant.NoWorkWhenLeaving.Bites(func() { checkStart(state, left.Add(-time.Second), left.Add(time.Second)) }))
+	header := http.Header{"T": {"1000"}}
+	is.True(sdinvariant.TimeShrinks.Bites(func() { checkTime(header, "T", 1500) }))
+	is.True(!sdinvariant.TimeShrinks.Bites(func() { checkTime(header, "T", 1000) }))
+}
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -231,6 +231,7 @@
 	edge := s.node.edge
 	s.mu.Lock()
 	identity := s.state.Beat.Identity
+	checkStart(s.state, request.Received, time.Now())
 	s.mu.Unlock()
 	left := time.Until(deadline)
 	if left < leastRun {
@@ -239,6 +240,7 @@
 	onward := *request
 	onward.Header = request.Header.Clone()
 	onward.Header.Del(sdinner.CallHeader)
+	checkTime(request.Header, edge.Timeout, left.Milliseconds())
 	onward.Header.Set(edge.Timeout, strconv.FormatInt(left.Milliseconds(), 10))
 	onward.Header.Set(edge.TargetIdentity, identity)
 	onward.Header.Set(edge.CallerService, call.CallerService)
--- a/internal/sdsidecar/tries.go
+++ b/internal/sdsidecar/tries.go
@@ -50,7 +50,9 @@
 			}
 			return n.giveUp(ctx, r, attempts.GiveUp(), reason, failed)
 		}
+		checkTry(r)
 		response, reply := n.try(ctx, r, member, left)
+		r.sending.note(member.Node, reply)
 		n.observe(ctx, r, member, response, reply)
 		tried = append(tried, member.Node)
 		if reply.Reached {
