Log lines go out whole; explain reads the lines of incarnations

The logger sorts the pairs that all lines bear, so that node= no longer followed the event and explain read nothing. Change: writes of whole lines of at most 4,096 bytes; explain finds the first pair by its form, and leaves the traffic of other requests out of a story. Tests: TestWritesAreOfWholeLines (fails on the old writer), a row of TestParse.

--- a/internal/sdexplain/explain_test.go
+++ b/internal/sdexplain/explain_test.go
@@ -22,6 +22,11 @@
 	is.Equal(line.Node, "a-1")
 	is.Equal(line.Get("sent"), "true")
 	is.Equal(line.Get("error"), `read: i/o "timeout"`)
+	line, ok = sdexplain.Parse(`2026-03-24T17:32:44.364Z [INFO]  savorydeal-node: state: incarnation=mo2x node=a-1 running=3`)
+	is.True(ok)
+	is.Equal(line.Event, "state")
+	is.Equal(line.Node, "a-1")
+	is.Equal(line.Get("running"), "3")
 	for _, text := range []string{"", "panic: x", "2026-03-24T17:32:44.364Z [INFO] no pairs", "2026-99-24T17:32:44.364Z [INFO]  e: node=a"} {
 		_, ok := sdexplain.Parse(text)
 		is.True(!ok)
--- a/internal/sdexplain/line.go
+++ b/internal/sdexplain/line.go
@@ -43,6 +43,10 @@
 // before them.
 var head = regexp.MustCompile(`(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d+(?:Z|[+-]\d{4}|[+-]\d\d:\d\d)) \[(\w+)\] +(.*)$`)
 
+// firstPair finds where the event's text ends and its pairs begin; the logger
+// sorts the pairs that all lines bear.
+var firstPair = regexp.MustCompile(`: \w+=`)
+
 var timeForms = []string{"2006-01-02T15:04:05.999999999Z07:00", "2006-01-02T15:04:05.999999999Z0700"}
 
 // Parse reads one line. It reports false for what is no event of a node.
@@ -59,17 +63,17 @@
 		}
 	}
 	rest := parts[3]
-	at := strings.Index(rest, ": node=")
-	if line.At.IsZero() || at < 0 {
+	at := firstPair.FindStringIndex(rest)
+	if line.At.IsZero() || at == nil {
 		return Line{}, false
 	}
-	line.Event = rest[:at]
+	line.Event = rest[:at[0]]
 	if name, event, ok := strings.Cut(line.Event, ": "); ok && !strings.Contains(name, " ") {
 		line.Event = event
 	}
-	line.Fields = parseFields(rest[at+2:])
+	line.Fields = parseFields(rest[at[0]+len(": "):])
 	line.Node = line.Get("node")
-	return line, true
+	return line, line.Node != ""
 }
 
 // parseFields reads pairs; a value with spaces stands in quotes.
--- a/internal/sdexplain/story.go
+++ b/internal/sdexplain/story.go
@@ -67,8 +67,12 @@
 	s.oldest = (s.oldest + 1) % maxKept
 }
 
-// near reports whether a line tells of a node that the request met.
+// near reports whether a line tells of a node that the request met. What came
+// of other requests explains none.
 func (s *Story) near(line Line) bool {
+	if line.Event == "traffic" {
+		return false
+	}
 	first, last := s.span()
 	if line.At.Before(first.Add(-around)) || line.At.After(last.Add(around)) {
 		return false
--- a/internal/sdlogpipe/writer.go
+++ b/internal/sdlogpipe/writer.go
@@ -17,6 +17,9 @@
 	// gatherFor is the time between two writes: lines that come together go out
 	// in one system call.
 	gatherFor = 20 * time.Millisecond
+	// writeBytes bounds one write: a pipe takes so much at once or not at all,
+	// so that a collector of several programs never sees a line in two parts.
+	writeBytes = 4096
 )
 
 // Writer is the buffer in front of an output. Each Write is one line or more,
@@ -90,15 +93,33 @@
 		lines.Reset()
 		lines, w.waiting = w.waiting, lines
 		w.mu.Unlock()
-		if lines.Len() > 0 {
-			if _, err := w.out.Write(lines.Bytes()); err != nil {
-				// A log has nowhere else to tell of this; the count is a metric.
-				w.failed.Add(1)
-			}
-		}
+		w.flush(lines.Bytes())
 		if closed {
 			return
 		}
 		time.Sleep(gatherFor)
 	}
 }
+
+// flush writes whole lines, as many at once as a pipe takes together.
+func (w *Writer) flush(lines []byte) {
+	for len(lines) > 0 {
+		end := len(lines)
+		if end > writeBytes {
+			end = 1 + bytes.LastIndexByte(lines[:writeBytes], '\n')
+			if end == 0 {
+				// One line that is longer goes out alone.
+				end = 1 + bytes.IndexByte(lines, '\n')
+			}
+		}
+		if end == 0 {
+			end = len(lines)
+		}
+		if _, err := w.out.Write(lines[:end]); err != nil {
+			// A log has nowhere else to tell of this; the count is a metric.
+			w.failed.Add(1)
+			return
+		}
+		lines = lines[end:]
+	}
+}
--- a/internal/sdlogpipe/writer_test.go
+++ b/internal/sdlogpipe/writer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -111,3 +112,38 @@
 	is.Equal(int64(<-got)+w.Dropped(), int64(lines))
 	is.True(w.Dropped() > 0)
 }
+
+// chunks keeps each write apart.
+type chunks struct {
+	mu   sync.Mutex
+	each []string
+}
+
+func (c *chunks) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.each = append(c.each, string(p))
+	return len(p), nil
+}
+
+// Every write is of whole lines, and no longer than a pipe takes at once unless
+// it is one line.
+func TestWritesAreOfWholeLines(t *testing.T) {
+	is := is.New(t)
+	out := &chunks{}
+	w := sdlogpipe.New(out)
+	for i := range 200 {
+		_, err := fmt.Fprintf(w, "%s\n", strings.Repeat("x", 10+37*i%900))
+		is.NoErr(err)
+	}
+	_, err := fmt.Fprintf(w, "%s\nlast\n", strings.Repeat("y", 9000))
+	is.NoErr(err)
+	w.Close(patience)
+	written := 0
+	for _, chunk := range out.each {
+		is.True(strings.HasSuffix(chunk, "\n"))
+		is.True(len(chunk) <= 4096 || strings.Count(chunk, "\n") == 1)
+		written += strings.Count(chunk, "\n")
+	}
+	is.Equal(written, 202)
+}
--- a/internal/sdsidecar/entry.go
+++ b/internal/sdsidecar/entry.go
@@ -36,7 +36,7 @@
 	depth    int
 	deadline time.Time
 	// parent is the run that made this call; nil for a caller's request.
-	parent *runInfo
+	parent  *runInfo
 	sending sending
 }
 
