--- a/internal/sdestate/failures_test.go
+++ b/internal/sdestate/failures_test.go
@@ -1,6 +1,7 @@
 package sdestate_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/savorydeal/savorydeal/internal/sdestate"
 	"github.com/savorydeal/savorydeal/internal/sdstandapp"
+	"github.com/savorydeal/savorydeal/internal/sdstandstore"
 )
 
 // Each row is a way in which targets fail. What may not be repeated runs at most
@@ -146,3 +148,33 @@
 	is.True(most <= 2) // the route's bound of targets
 }
 
+// Nodes that start while the store loses the answers of writes, or makes the
+// writes only seconds later, find each other and serve; a late write of a node
+// that has ended meanwhile names nobody in the way of others.
+func TestWritesAreLostOrLate(t *testing.T) {
+	for _, fault := range []sdstandstore.Fault{sdstandstore.FaultLostAnswer, sdstandstore.FaultLateWrite} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			estate, err := sdestate.Start(plan(), t.TempDir(), testLog(t))
+			is.NoErr(err)
+			t.Cleanup(estate.Close)
+			ctx, cancel := context.WithTimeout(context.Background(), readyWithin)
+			t.Cleanup(cancel)
+			before := estate.Store.Calls()
+			estate.Store.Fail(fault)
+			is.NoErr(estate.StartNodes(ctx))
+			is.NoErr(estate.VMs[0].KillNode())
+			is.NoErr(estate.VMs[0].StartNode())
+			is.NoErr(estate.WaitReady(ctx))
+			for _, answer := range load(ctx, estate, "/look/", "w", 60) {
+				is.Equal(answer.Status, http.StatusOK)
+			}
+			time.Sleep(sdstandstore.LateBy)
+			for _, answer := range load(ctx, estate, "/look/", "x", 60) {
+				is.Equal(answer.Status, http.StatusOK)
+			}
+			is.True(estate.Store.Calls() > before)
+		})
+	}
+}
--- a/internal/sdpressure/driverjudge_test.go
+++ b/internal/sdpressure/driverjudge_test.go
@@ -149,4 +149,3 @@
 	}
 	return worst
 }
-
