An event whose caller has left does not run on control

Ruled out: the tests and the rig; the stack names control and runJoin of one node. Change: the event is claimed by whoever comes first, control or the caller that leaves; one that has begun is waited for. Test: TestLeftEventsDoNotRun fails on the old do. sdsidecar and sdestate pass under the race detector once after it.

--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/savorydeal/savorydeal"
@@ -43,10 +44,16 @@
 	}
 }
 
-// do runs an event on the control goroutine and waits for it.
+// do runs an event on the control goroutine and waits for it. If ctx ends first
+// the event is withdrawn: what it would write belongs to the caller again.
 func (n *Node) do(ctx context.Context, event controlEvent) error {
 	done := make(chan struct{})
+	// claimed is set by whoever comes first: control, or the caller who leaves.
+	var claimed atomic.Bool
 	wrapped := func(c *control) {
+		if claimed.Swap(true) {
+			return
+		}
 		event(c)
 		close(done)
 	}
@@ -59,8 +66,12 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
+	if claimed.Swap(true) {
+		<-done
+		return nil
+	}
+	return ctx.Err()
 }
 
 // post runs an event on the control goroutine without waiting. Events that
--- a/internal/sdsidecar/node_test.go
+++ b/internal/sdsidecar/node_test.go
@@ -1,6 +1,7 @@
 package sdsidecar
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -106,3 +107,19 @@
 	_, ok = table.parent("a.1.ff")
 	is.True(!ok)
 }
+
+// An event whose caller has left before its turn does not run: its caller may
+// use again what it would write.
+func TestLeftEventsDoNotRun(t *testing.T) {
+	is := is.New(t)
+	node := testNode(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := false
+	left := make(chan error)
+	go func() { left <- node.do(ctx, func(*control) { ran = true }) }()
+	event := <-node.events
+	cancel()
+	is.True(<-left != nil)
+	event(&node.control)
+	is.True(!ran)
+}
