Count the bytes between data centres by cause

Change: savorydeal_cross_dc_bytes_total{cause,route,part}; each exchange counts at the node that starts it, each datagram at its sender, so that the sum over all nodes counts a byte once. The state line carries the total. A connection is closed if its raw form cannot be had (it leaked and stayed counted).

Test: sdhttp.TestBytesOfExchangesAreCounted, sdsidecar.TestBytesBetweenDataCentres.

--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,8 +65,27 @@
 	openConns int
 }
 
+// ByteCounts counts the bytes of requests and of their answers, without those of
+// the transport. Heads include the framing of bodies. It is safe for concurrent
+// use.
+type ByteCounts struct {
+	RequestHeads, RequestBodies, AnswerHeads, AnswerBodies atomic.Int64
+}
+
+// countedConn counts the bytes read from a connection.
+type countedConn struct {
+	net.Conn
+	received atomic.Int64
+}
+
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 type clientConn struct {
-	conn   net.Conn
+	conn   *countedConn
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	// used is true if the connection has carried a request.
@@ -145,14 +165,15 @@
 	if err != nil {
 		return nil, &RequestError{ConnRefused: errors.Is(err, syscall.ECONNREFUSED), Err: fmt.Errorf("connect to %s: %w", p.Address, err)}
 	}
-	p.mu.Lock()
-	p.openConns++
-	p.mu.Unlock()
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return nil, &RequestError{Err: fmt.Errorf("connection to %s: %w", p.Address, err)}
+		return nil, &RequestError{Err: fmt.Errorf("connection to %s: %w", p.Address, errors.Join(err, conn.Close()))}
 	}
-	return &clientConn{conn: conn, raw: raw, reader: bufio.NewReaderSize(conn, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
+	p.mu.Lock()
+	p.openConns++
+	p.mu.Unlock()
+	counted := &countedConn{Conn: conn}
+	return &clientConn{conn: counted, raw: raw, reader: bufio.NewReaderSize(counted, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
 }
 
 // setTCPUserTimeout makes a connection fail if sent bytes stay unacknowledged
@@ -210,7 +231,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	_ = c.conn.SetDeadline(deadline)
+	receivedBefore := c.conn.received.Load()
 	response, reusable, requestError := c.roundTrip(request, isOwnAnswer)
+	if request.Bytes != nil {
+		request.Bytes.countAnswer(response, c.conn.received.Load()-receivedBefore)
+	}
 	if requestError != nil {
 		stop()
 		p.discard(c)
@@ -221,7 +246,14 @@
 		return nil, requestError
 	}
 	if response.Remainder != nil {
-		response.Remainder = &remainderBody{ReadCloser: response.Remainder, onClose: func() { stop(); p.discard(c) }}
+		counted := c.conn.received.Load()
+		response.Remainder = &remainderBody{ReadCloser: response.Remainder, onClose: func() {
+			stop()
+			p.discard(c)
+			if request.Bytes != nil {
+				request.Bytes.AnswerBodies.Add(c.conn.received.Load() - counted)
+			}
+		}}
 		return response, nil
 	}
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
@@ -232,6 +264,17 @@
 	return response, nil
 }
 
+// countAnswer counts the bytes received for a request; response is nil if it has no
+// complete answer.
+func (b *ByteCounts) countAnswer(response *Response, received int64) {
+	body := int64(0)
+	if response != nil {
+		body = min(received, int64(len(response.Body)))
+	}
+	b.AnswerBodies.Add(body)
+	b.AnswerHeads.Add(received - body)
+}
+
 // remainderBody is the streamed part of an answer. Its connection is not
 // reused.
 type remainderBody struct {
@@ -252,6 +295,10 @@
 func (c *clientConn) roundTrip(request *Request, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	b := buffers.Get().(*bytes.Buffer)
 	writeRequest(b, request)
+	if request.Bytes != nil {
+		request.Bytes.RequestHeads.Add(int64(b.Len() - len(request.Body)))
+		request.Bytes.RequestBodies.Add(int64(len(request.Body)))
+	}
 	written := make(chan error, 1)
 	large := b.Len() > largeRequestBytes
 	if large {
--- a/internal/sdhttp/client_test.go
+++ b/internal/sdhttp/client_test.go
@@ -166,3 +166,22 @@
 	pool.Expire(time.Now().Add(900 * time.Millisecond))
 	is.Equal(pool.OpenConns(), 0)
 }
+
+// The bytes of an exchange are counted once by part, also on a reused connection and
+// if the answer is incomplete.
+func TestBytesOfExchangesAreCounted(t *testing.T) {
+	is := is.New(t)
+	first, second := okAnswer("a", "one"), okAnswer("a", "three")
+	broken := "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nno"
+	pool := startScriptedServer(t, first, second, broken)
+	var counts sdhttp.ByteCounts
+	for range 3 {
+		request := &sdhttp.Request{Method: http.MethodPut, Host: "h", Target: "/", Header: http.Header{idHeader: {"a"}}, Body: []byte("body"), Bytes: &counts}
+		_, _ = pool.Do(context.Background(), request, time.Now().Add(500*time.Millisecond), false, hasID("a"))
+	}
+	head := len("PUT / HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 4\r\n\r\n")
+	is.Equal(counts.RequestHeads.Load(), int64(3*head))
+	is.Equal(counts.RequestBodies.Load(), int64(3*len("body")))
+	is.Equal(counts.AnswerBodies.Load(), int64(len("one")+len("three")))
+	is.Equal(counts.AnswerHeads.Load(), int64(len(first)+len(second)+len(broken)-len("one")-len("three")))
+}
--- a/internal/sdhttp/server.go
+++ b/internal/sdhttp/server.go
@@ -55,6 +55,9 @@
 	Body   []byte
 	// ReceivedAt is when the request was read to its end.
 	ReceivedAt time.Time
+	// Bytes, if not nil, counts the bytes that Pool.Do sends and receives for the
+	// request.
+	Bytes *ByteCounts
 }
 
 // Response is one answer. Body holds the complete body, or its beginning if
--- a/internal/sdsidecar/attempts.go
+++ b/internal/sdsidecar/attempts.go
@@ -177,6 +177,9 @@
 		return n.target.serve(ctx, call, forwarded)
 	}
 	isNodeReply := func(header http.Header) bool { return header.Get(sdpeerheader.ReplyHeader) != "" }
+	if member.DataCentre != n.settings.DataCentre {
+		forwarded.Bytes = n.crossBytes.counts(causeCalls, r.route.Name)
+	}
 	remote := n.peers.peer(member.PeerAddress)
 	attempt := remote.beginAttempt(ctx, call.Repeatable, n.clock.Now())
 	response, err := remote.pool.Do(attempt, forwarded, r.deadline, false, isNodeReply)
--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -318,7 +318,9 @@
 }
 
 func (n *Node) callPeer(ctx context.Context, address, method, target string, body []byte) (*sdhttp.Response, error) {
-	request := &sdhttp.Request{Method: method, Host: address, Target: target, Header: http.Header{}, Body: body}
+	request := &sdhttp.Request{
+		Method: method, Host: address, Target: target, Header: http.Header{}, Body: body, Bytes: n.controlBytes(address, target),
+	}
 	return n.peers.peer(address).pool.Do(ctx, request, time.Now().Add(exchangeTimeout), false, acceptAny)
 }
 
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -160,9 +160,13 @@
 		now := n.clock.Now()
 		report := configReport{version: c.config.Version, age: now.Sub(c.confirmedAt)}
 		datagram := sdgossip.Datagram{ConfigDigest: report.encode(), Membership: &packet.Message}
+		before := n.socket.Counts().SentBytes
 		if err := n.socket.Send(packet.To, datagram, now); err != nil {
 			n.log.Debug("datagram not sent", "peer", packet.To, "error", err)
 		}
+		if counts := n.controlBytes(packet.To, causeGossip); counts != nil {
+			counts.RequestBodies.Add(n.socket.Counts().SentBytes - before)
+		}
 	}
 }
 
@@ -175,6 +179,7 @@
 	members := c.roster.Members()
 	n.logMemberChanges(c.members, members)
 	c.members = members
+	n.crossBytes.setMembers(members)
 	live, targets := 0, 0
 	for _, member := range members {
 		if isLive(member) {
--- a/internal/sdsidecar/metrics.go
+++ b/internal/sdsidecar/metrics.go
@@ -91,7 +91,7 @@
 	gauge("config_age_seconds", "Seconds since a node last read the store and found no newer configuration.", func() float64 {
 		return n.clock.Now().Sub(time.Unix(0, n.confirmedAt.Load())).Seconds()
 	})
-	n.metrics.registry.MustRegister(serviceCollector{node: n})
+	n.metrics.registry.MustRegister(serviceCollector{node: n}, &n.crossBytes)
 	gauge("callers_active", "Caller requests in progress.", func() float64 { return float64(n.callerServer.ActiveRequests()) })
 }
 
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -63,6 +63,7 @@
 	random   *rand.Rand
 
 	peers        peers
+	crossBytes   crossDataCentreBytes
 	target       *targetServer
 	runs         runTable
 	poison       *sdpoison.Table
--- a/internal/sdsidecar/node_test.go
+++ b/internal/sdsidecar/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +126,26 @@
 	event(&node.control)
 	is.True(!ran)
 }
+
+// Only exchanges with nodes of other data centres count, each under its cause; a node
+// that is not in the view counts as one of another data centre.
+func TestBytesBetweenDataCentres(t *testing.T) {
+	is := is.New(t)
+	node := testNode(t)
+	node.crossBytes.setMembers([]savorydeal.Member{
+		{PeerAddress: "127.0.0.1:3", DataCentre: "z"}, {PeerAddress: "127.0.0.1:4", DataCentre: "y"},
+	})
+	is.True(node.controlBytes("127.0.0.1:3", causeGossip) == nil)
+	node.controlBytes("127.0.0.1:4", causeGossip).RequestBodies.Add(10)
+	node.controlBytes("127.0.0.1:5", membersPath).AnswerBodies.Add(7)
+	node.crossBytes.counts(causeCalls, "r").RequestHeads.Add(5)
+	is.Equal(node.crossBytes.total(), int64(22))
+	text := string(node.metricsResponse().Body)
+	for _, line := range []string{
+		`savorydeal_cross_dc_bytes_total{cause="gossip",part="request_body",route=""} 10`,
+		`savorydeal_cross_dc_bytes_total{cause="/members",part="answer_body",route=""} 7`,
+		`savorydeal_cross_dc_bytes_total{cause="calls",part="request_head",route="r"} 5`,
+	} {
+		is.True(strings.Contains(text, line))
+	}
+}
--- a/internal/sdsidecar/peers.go
+++ b/internal/sdsidecar/peers.go
@@ -184,7 +184,9 @@
 }
 
 func (n *Node) probe(ctx context.Context, remote *peer) {
-	request := &sdhttp.Request{Method: http.MethodGet, Host: remote.address, Target: alivePath, Header: http.Header{}}
+	request := &sdhttp.Request{
+		Method: http.MethodGet, Host: remote.address, Target: alivePath, Header: http.Header{}, Bytes: n.controlBytes(remote.address, alivePath),
+	}
 	_, err := remote.pool.Do(ctx, request, time.Now().Add(probeTimeout), false, acceptAny)
 	if err != nil {
 		n.log.Debug("probe not answered", "peer", remote.address, "error", err)
--- a/internal/sdsidecar/traffic.go
+++ b/internal/sdsidecar/traffic.go
@@ -89,7 +89,7 @@
 			return nil
 		}
 		n.log.Info("state", "running", load.Running, "queued", load.Queued, "limit", load.Limit, "demand", load.Demand,
-			"members", members, "version", version, "confirmed_ago", confirmedAgo.Round(time.Millisecond))
+			"cross_dc_bytes", n.crossBytes.total(), "members", members, "version", version, "confirmed_ago", confirmedAgo.Round(time.Millisecond))
 	}
 	return nil
 }
