Keep calls in their data centre while its targets have room

Cause: the target with the lowest expected time was chosen in any data centre, with a charge of at most 0.2 of that time on the way, and none for routes whose mean run time was above a quarter of their objective.

Change: the cheapest of a few local targets is compared with the cheapest of a few in other data centres. The charge for leaving is 2.0 times the remote time while the local target has room (utilisation up to 0.9) and falls to 0.5 at 1.3, so that only the excess leaves; it shrinks with the slack that the local time leaves to the objective, so that tight routes still go where they are answered soonest. Failures of the local target raise its cost but not the slack: where the targets of all data centres fail alike, leaving gains nothing.

--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -33,13 +33,20 @@
 	// crossDataCentreDelay is the extra round-trip time of a call to another
 	// data centre.
 	crossDataCentreDelay = 4 * time.Millisecond
-	// crossDataCentrePenalty is the relative cost added to a target in another
-	// data centre, because traffic between data centres is charged for. It is
-	// added in full only for routes with time to spare: it shrinks to 0 as the
-	// mean run time of a route grows to tightObjectiveShare of its latency
-	// objective.
-	crossDataCentrePenalty = 0.2
-	tightObjectiveShare    = 0.25
+	// crossDataCentrePenalty is the relative cost added to targets in other data
+	// centres, because traffic between data centres is charged for. It shrinks to 0
+	// as the expected time of the best local target grows to tightObjectiveShare of
+	// the route's latency objective: then the call goes wherever it is answered
+	// soonest.
+	crossDataCentrePenalty = 0.5
+	// localityPenalty is added to crossDataCentrePenalty while the best local target
+	// has room: in full up to a utilisation of roomyUtilisation, and less up to
+	// saturatedUtilisation, where it is 0. Only the excess load of a data centre
+	// leaves it, and it comes back as soon as there is room again.
+	localityPenalty      = 1.5
+	roomyUtilisation     = 0.9
+	saturatedUtilisation = 1.3
+	tightObjectiveShare  = 0.5
 	// coldPenalty is the relative cost added to a target that has just become
 	// ready. It shrinks to 0 over coldDuration.
 	coldPenalty = 1.0
@@ -230,68 +237,104 @@
 	return b.pick(now, call, candidates)
 }
 
-// pick samples a few of the candidates and picks the one with the lowest
-// expected cost.
+// pick chooses between the cheapest target in this data centre and the cheapest one
+// in the others, each of a few drawn at random.
 func (b *Balancer) pick(now time.Time, call Call, candidates []*target) (savorydeal.Member, bool) {
 	if len(candidates) == 0 {
 		return savorydeal.Member{}, false
 	}
-	for i := range min(sampleSize, len(candidates)-1) {
-		j := i + b.random.IntN(len(candidates)-i)
-		candidates[i], candidates[j] = candidates[j], candidates[i]
-	}
 	mean := b.routeMean(call.Route)
-	penalty := crossDataCentrePenaltyFor(mean, call.Objective)
-	best, lowest := candidates[0], math.Inf(1)
-	for _, t := range candidates[:min(sampleSize, len(candidates))] {
-		if cost := b.expectedCost(now, t, mean, penalty) * (1 + costJitter*b.random.Float64()); cost < lowest {
-			best, lowest = t, cost
-		}
+	local, remote := b.partition(candidates)
+	best, localCost := b.cheapest(now, local, mean)
+	other, remoteCost := b.cheapest(now, remote, mean)
+	if best == nil || other != nil && remoteCost*(1+b.leavingPenalty(now, best, mean, call.Objective))+crossDataCentreDelay.Seconds() < localCost {
+		best = other
 	}
 	best.inFlight++
 	return best.member, true
 }
 
-// routeMean returns the mean run time of a route.
-func (b *Balancer) routeMean(route string) time.Duration {
-	if mean, ok := b.routeMeans[route]; ok {
-		return mean
+// partition reorders targets so that those in this data centre come first, and
+// returns both parts.
+func (b *Balancer) partition(targets []*target) (local, remote []*target) {
+	count := 0
+	for i, t := range targets {
+		if t.member.DataCentre == b.dataCentre {
+			targets[count], targets[i] = targets[i], targets[count]
+			count++
+		}
 	}
-	return initialRouteMean
+	return targets[:count], targets[count:]
 }
 
-// crossDataCentrePenaltyFor returns the relative cost added to targets in other
-// data centres for a route with this mean run time and latency objective; 0 if
-// it has no objective.
-func crossDataCentrePenaltyFor(mean, objective time.Duration) float64 {
+// cheapest draws a few of the targets and returns the one with the lowest expected
+// cost, and that cost; nil if there is none.
+func (b *Balancer) cheapest(now time.Time, targets []*target, mean time.Duration) (*target, float64) {
+	var best *target
+	lowest := math.Inf(1)
+	for i := range min(sampleSize, len(targets)) {
+		j := i + b.random.IntN(len(targets)-i)
+		targets[i], targets[j] = targets[j], targets[i]
+		if cost := b.expectedCost(now, targets[i], mean) * (1 + costJitter*b.random.Float64()); best == nil || cost < lowest {
+			best, lowest = targets[i], cost
+		}
+	}
+	return best, lowest
+}
+
+// leavingPenalty returns the relative cost added to targets in other data centres
+// for a call that would go to the target local in this one; 0 if the route has no
+// objective. The failure rate of the local target does not reduce it: if the targets
+// of all data centres fail, the call gains nothing elsewhere.
+func (b *Balancer) leavingPenalty(now time.Time, local *target, mean, objective time.Duration) float64 {
 	if objective <= 0 {
 		return 0
 	}
-	return crossDataCentrePenalty * max(0, 1-mean.Seconds()/objective.Seconds()/tightObjectiveShare)
+	slack := max(0, 1-b.expectedTime(now, local, mean)/(tightObjectiveShare*objective.Seconds()))
+	room := (saturatedUtilisation - b.utilisation(now, local)) / (saturatedUtilisation - roomyUtilisation)
+	return slack * (crossDataCentrePenalty + localityPenalty*min(1, max(0, room)))
 }
 
-// expectedCost returns the expected time of a call to the target in seconds,
-// raised by the penalties for cold targets, other data centres and failures.
-func (b *Balancer) expectedCost(now time.Time, t *target, mean time.Duration, penalty float64) float64 {
-	runTime := mean.Seconds() * t.runTimeRatio
-	limit := float64(max(1, t.reported.Limit, t.member.Slots))
-	if t.reported.Limit > 0 {
-		limit = float64(t.reported.Limit)
+// routeMean returns the mean run time of a route.
+func (b *Balancer) routeMean(route string) time.Duration {
+	if mean, ok := b.routeMeans[route]; ok {
+		return mean
 	}
-	utilisation := b.estimatedLoad(now, t) / limit
-	cost := runTime * (1 + math.Pow(min(utilisation, 1), loadExponent))
+	return initialRouteMean
+}
+
+// expectedTime returns the expected time of a call to the target in seconds, without
+// the delay between data centres.
+func (b *Balancer) expectedTime(now time.Time, t *target, mean time.Duration) float64 {
+	runTime := mean.Seconds() * t.runTimeRatio
+	utilisation := b.utilisation(now, t)
+	expected := runTime * (1 + math.Pow(min(utilisation, 1), loadExponent))
 	if utilisation > 1 {
-		cost += runTime * (utilisation - 1) * 2
+		expected += runTime * (utilisation - 1) * 2
 	}
+	return expected
+}
+
+// expectedCost returns the expected time raised by the penalties for cold targets and
+// failures.
+func (b *Balancer) expectedCost(now time.Time, t *target, mean time.Duration) float64 {
+	cost := b.expectedTime(now, t, mean)
 	if age := now.Sub(t.member.ReadySince); !t.member.ReadySince.IsZero() && age < coldDuration {
 		cost *= 1 + coldPenalty*(1-age.Seconds()/coldDuration.Seconds())
 	}
-	if t.member.DataCentre != b.dataCentre {
-		cost = cost*(1+penalty) + crossDataCentreDelay.Seconds()
-	}
 	return cost * (1 + failurePenalty*t.decayedFailureRate(now))
 }
 
+// utilisation returns the estimated number of calls at a target as a multiple of
+// its concurrency limit, or of its announced slots before the first report.
+func (b *Balancer) utilisation(now time.Time, t *target) float64 {
+	limit := t.reported.Limit
+	if limit <= 0 {
+		limit = max(1, t.member.Slots)
+	}
+	return b.estimatedLoad(now, t) / float64(limit)
+}
+
 // estimatedLoad returns the estimated number of calls at a target: its reported
 // load, decayed by age, plus the change of this node's own calls in flight
 // since the report. It is at least the number of these calls. Before the first
--- a/internal/sdbalance/balance_test.go
+++ b/internal/sdbalance/balance_test.go
@@ -181,3 +181,109 @@
 		is.Equal(local > 50, c.staysLocal)
 	}
 }
+
+// placeLoad sends calls from every data centre at a constant rate to a service with
+// one target in each, simulates the targets, and returns the share of calls that left
+// their data centre and the most calls that one target had at once per slot.
+func placeLoad(callsPerSecond float64, weights []float64, slowdown []float64) (left, peak float64) {
+	const (
+		slots    = 20
+		runTime  = 15 * time.Millisecond
+		seconds  = 6
+		reportIn = 2 * time.Millisecond
+	)
+	view := make([]savorydeal.Member, len(weights))
+	balancers := make([]*sdbalance.Balancer, len(weights))
+	for i := range view {
+		name := strconv.Itoa(i)
+		view[i] = savorydeal.Member{
+			Node: savorydeal.NodeID(name), State: savorydeal.MemberAlive, Service: "s",
+			TargetState: savorydeal.TargetReady, Slots: slots, DataCentre: name,
+		}
+	}
+	type running struct {
+		from, target int
+		end          time.Time
+		runTime      time.Duration
+	}
+	random := rand.New(rand.NewPCG(7, 8))
+	next := make([]time.Time, len(weights))
+	for i := range balancers {
+		balancers[i] = sdbalance.New(strconv.Itoa(i), rand.New(rand.NewPCG(uint64(i), 3)))
+		balancers[i].Update(view)
+		next[i] = start
+	}
+	// freeAt holds when each slot of each target becomes free.
+	freeAt := make([][]time.Time, len(weights))
+	for i := range freeAt {
+		freeAt[i] = make([]time.Time, slots)
+	}
+	var runs []running
+	calls, crossed := 0, 0
+	for now := start; now.Before(start.Add(seconds * time.Second)); now = now.Add(time.Millisecond) {
+		kept := runs[:0]
+		for _, r := range runs {
+			if now.Before(r.end.Add(reportIn)) {
+				kept = append(kept, r)
+				continue
+			}
+			atTarget := 0
+			for _, other := range runs {
+				if other.target == r.target && now.Before(other.end) {
+					atTarget++
+				}
+			}
+			peak = max(peak, float64(atTarget)/slots)
+			balancers[r.from].Observe(now, sdbalance.Observation{
+				Node: savorydeal.NodeID(strconv.Itoa(r.target)), Route: "r", Result: sdbalance.ResultAnswered, RunTime: r.runTime,
+				Load: sdbalance.Load{Running: min(atTarget, slots), Queued: max(0, atTarget-slots), Limit: slots},
+			})
+		}
+		runs = append([]running(nil), kept...)
+		for from, weight := range weights {
+			for ; !next[from].After(now); next[from] = next[from].Add(time.Duration(random.ExpFloat64() / (callsPerSecond * weight) * float64(time.Second))) {
+				member, _ := balancers[from].Choose(now, sdbalance.Call{Service: "s", Route: "r", Objective: 300 * time.Millisecond}, nil)
+				target, _ := strconv.Atoi(string(member.Node))
+				calls++
+				if target != from {
+					crossed++
+				}
+				slot := 0
+				for i := range freeAt[target] {
+					if freeAt[target][i].Before(freeAt[target][slot]) {
+						slot = i
+					}
+				}
+				begin := now
+				if freeAt[target][slot].After(now) {
+					begin = freeAt[target][slot]
+				}
+				took := time.Duration(float64(runTime) * slowdown[target] * (0.5 + random.Float64()))
+				freeAt[target][slot] = begin.Add(took)
+				runs = append(runs, running{from: from, target: target, end: begin.Add(took), runTime: took})
+			}
+		}
+	}
+	return float64(crossed) / float64(calls), peak
+}
+
+// While every data centre has room for its own calls, they stay in it, also where its
+// target is slower than those of the others.
+func TestCallsStayInTheirDataCentreWhileThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	// 20 slots and 15 ms a run are room for 1,333 calls/s in each data centre.
+	left, _ := placeLoad(2400, []float64{0.25, 0.25, 0.25, 0.25}, []float64{1, 1.4, 0.6, 1})
+	is.True(left < 0.05) // share of the calls that left their data centre
+}
+
+// Of the calls of a data centre whose own target is too small for them, only the
+// excess leaves it.
+func TestOnlyTheExcessLeavesTheDataCentre(t *testing.T) {
+	is := is.New(t)
+	// The first data centre has 2,000 calls/s and room for 1,333.
+	left, peak := placeLoad(3200, []float64{0.625, 0.125, 0.125, 0.125}, []float64{1, 1, 1, 1})
+	excess := (2000.0 - 1333) / 3200
+	is.True(left > excess)     // the excess is served elsewhere
+	is.True(left < 1.6*excess) // and little more
+	is.True(peak < 2)          // calls at one target, per slot
+}
