--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -26,7 +26,7 @@
 	minRunTime = 5 * time.Millisecond
 	// slotShare is the share of a target's slots that is used, since some targets
 	// slow down when almost all of their slots are occupied.
-	slotShare = 0.94
+	slotShare = 0.95
 )
 
 // Reasons why a call has no answer from the target.
