Find nodes with about one call to the store a start

Change: package sdjoin decides when a node reads the meeting points, exchanges views and writes meeting points. When the platform starts for the first time (no caller waits yet) the first reads spread over a second, so that nearly all nodes find a point to join through; nodes wait for the configuration from the nodes that they have joined. Afterwards only the two watchers of a data centre read, and they write its points by rank. A node that starts again reads both at once, as before, and watches only once its rank is known. A node that is alone reads less and less often, up to every 5 s (it read every 0.4 s).

Ruled out: reads that allow stale data (a tenth of the price): a node that starts alone would miss points written moments ago.

Test: TestCallsToTheStoreDoNotGrowWithTheNodes (16, 85 and 195 nodes), TestAllNodesStartAgain, TestMeetingPointsOfLostNodesAreReplaced, TestNodeThatLosesAllOthersReads; TestWatchersPerDataCentre moved with the rank.

--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
+	"github.com/savorydeal/savorydeal/internal/sdjoin"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
 	"github.com/savorydeal/savorydeal/internal/sdwire"
 	"github.com/savorydeal/savorydeal/platform"
@@ -22,12 +23,6 @@
 	// kindMeetingPoint is the kind of the store objects that hold the peer address
 	// of a node to join through.
 	kindMeetingPoint = "meeting-points"
-	// meetingPointsPerDataCentre is the number of these objects in each data centre,
-	// independent of the number of nodes.
-	meetingPointsPerDataCentre = 4
-	// watchersPerDataCentre is the number of nodes in each data centre that watch
-	// the store.
-	watchersPerDataCentre = 2
 	// maxWatchWait is the longest time that one watch waits for a change. A store
 	// that has dropped its history may keep a watch waiting that has missed a
 	// change, so this has to be shorter than the time within which a new
@@ -40,11 +35,12 @@
 	// watchers. A node that is not a watcher reads the store itself once the last
 	// confirmation is older than that, so that not all nodes read at once.
 	fallbackReadDelay = 300 * time.Millisecond
-	// joinInterval is the mean time between two attempts to join other nodes.
-	joinInterval = 400 * time.Millisecond
-	// viewExchangeInterval is the time between two exchanges of full membership
-	// views.
-	viewExchangeInterval = 10 * time.Second
+	// joinPollInterval is the time between two checks of what the node has to do to
+	// find other nodes.
+	joinPollInterval = 100 * time.Millisecond
+	// maxFetchWait is how long a node that starts again, and has no configuration yet,
+	// waits for one from the nodes that it has joined before it reads the store itself.
+	maxFetchWait = 500 * time.Millisecond
 	// joinFanOut is the number of meeting points contacted in one join attempt.
 	joinFanOut      = 3
 	exchangeTimeout = time.Second
@@ -57,21 +53,6 @@
 	watchRankPollInterval = 300 * time.Millisecond
 )
 
-// watchRank returns the rank of a member, from 0, among the live members of its data
-// centre ordered by the hash of their IDs. The first watchersPerDataCentre of them
-// watch the store, so that its load does not grow with the number of nodes.
-func watchRank(members []savorydeal.Member, self savorydeal.Member) int {
-	own := xxhash.Sum64String(string(self.Node))
-	rank := 0
-	for _, member := range members {
-		if member.Node != self.Node && isLive(member) && member.DataCentre == self.DataCentre &&
-			xxhash.Sum64String(string(member.Node)) < own {
-			rank++
-		}
-	}
-	return rank
-}
-
 // backoff is a randomised exponential backoff.
 type backoff struct {
 	node *Node
@@ -124,13 +105,28 @@
 
 // shouldWatch reports whether this node has to read or watch the store now.
 func (n *Node) shouldWatch(ctx context.Context) bool {
+	hasConfig := n.routes.Load() != nil
+	if !n.joinAttempted.Load() {
+		// The rank is not known yet. A node that starts again reads the configuration
+		// at once, because callers wait for it.
+		return !hasConfig && !n.settings.FirstStart
+	}
 	rank := n.watchRank.Load()
-	if rank < watchersPerDataCentre || n.routes.Load() == nil {
+	if rank < sdjoin.WatchersPerDataCentre {
 		return true
 	}
-	maxAge := maxConfirmationAge + time.Duration(rank-watchersPerDataCentre)*fallbackReadDelay
+	maxAge := maxConfirmationAge + time.Duration(rank-sdjoin.WatchersPerDataCentre)*fallbackReadDelay
+	if !hasConfig && !n.settings.FirstStart {
+		maxAge = maxFetchWait
+	}
 	expired := false
-	_ = n.callControl(ctx, func(c *controlState) { expired = n.clock.Now().Sub(c.confirmedAt) > maxAge })
+	_ = n.callControl(ctx, func(c *controlState) {
+		since := c.confirmedAt
+		if since.Before(n.started) {
+			since = n.started
+		}
+		expired = n.clock.Now().Sub(since) > maxAge
+	})
 	return expired
 }
 
@@ -160,69 +156,80 @@
 }
 
 // runJoin finds other nodes through the store and the settings, and exchanges full
-// membership views with them.
+// membership views with them; package sdjoin decides when.
 func (n *Node) runJoin(ctx context.Context) error {
-	storeBackoff := backoff{node: n}
-	pointWritten, reachable := false, true
+	planner := sdjoin.New(n.clock.Now(), n.settings.FirstStart, n.newRandom())
+	reachable := true
 	for ctx.Err() == nil {
-		objects, err := n.store.List(ctx, kindMeetingPoint)
-		n.metrics.countStoreCall(err)
-		if (err == nil) != reachable && ctx.Err() == nil {
-			reachable = err == nil
-			n.log.Info("meeting point list availability", "read", reachable, "error", err)
-		}
-		points := n.meetingPoints(objects.Objects)
-		_ = n.callControl(ctx, func(c *controlState) { c.roster.SetMeetingPoints(points) })
-		joined := n.joinRandom(ctx, points)
-		if err == nil && (!pointWritten || joined) {
-			pointWritten = n.maintainMeetingPoint(ctx, objects.Objects) == nil
-		}
-		switch {
-		case err != nil:
-			n.sleep(ctx, storeBackoff.next())
-		case !joined || !pointWritten:
-			n.sleep(ctx, joinInterval/2+time.Duration(n.randomFraction()*float64(joinInterval)))
-		default:
-			n.waitForNextJoin(ctx)
+		_, live := n.randomPeers(ctx, 0)
+		switch planner.Next(n.clock.Now(), live-1, int(n.watchRank.Load())) {
+		case sdjoin.StepRead:
+			err := n.readMeetingPoints(ctx)
+			if (err == nil) != reachable && ctx.Err() == nil {
+				reachable = err == nil
+				n.log.Info("meeting point list availability", "read", reachable, "error", err)
+			}
+			n.joinAttempted.Store(true)
+			_, live = n.randomPeers(ctx, 0)
+			planner.ReadDone(n.clock.Now(), err == nil, live-1)
+		case sdjoin.StepExchange:
+			addresses, _ := n.randomPeers(ctx, 1)
+			for _, address := range addresses {
+				n.exchangeViews(ctx, address)
+			}
+		case sdjoin.StepWait:
+			if live > 1 {
+				n.joinAttempted.Store(true)
+			}
+			n.sleep(ctx, joinPollInterval)
 		}
 	}
 	return nil
 }
 
-// waitForNextJoin waits until the next join attempt. It returns as soon as this node
-// knows no other live node. Otherwise it exchanges views with one random node after
-// viewExchangeInterval and, once startupPhase is over, waits for settledPause in
-// addition.
-func (n *Node) waitForNextJoin(ctx context.Context) {
-	for end := n.clock.Now().Add(viewExchangeInterval); ctx.Err() == nil && n.clock.Now().Before(end); {
-		n.sleep(ctx, time.Second)
-		if _, live := n.randomPeers(ctx, 0); live <= 1 {
-			return
-		}
-	}
-	addresses, _ := n.randomPeers(ctx, 1)
-	for _, address := range addresses {
-		n.exchangeViews(ctx, address)
+// readMeetingPoints reads the meeting points from the store, exchanges views with some
+// of them and writes those that are due.
+func (n *Node) readMeetingPoints(ctx context.Context) error {
+	objects, err := n.store.List(ctx, kindMeetingPoint)
+	n.metrics.countStoreCall(err)
+	points := n.meetingPoints(objects.Objects)
+	_ = n.callControl(ctx, func(c *controlState) { c.roster.SetMeetingPoints(points) })
+	n.joinRandom(ctx, points)
+	if err != nil {
+		return fmt.Errorf("read meeting points: %w", err)
 	}
-	if n.clock.Now().Sub(n.started) > startupPhase {
-		n.sleep(ctx, settledPause)
+	var members []savorydeal.Member
+	var self savorydeal.Member
+	_ = n.callControl(ctx, func(c *controlState) { members, self = c.roster.Members(), c.roster.Self() })
+	for _, write := range sdjoin.DueWrites(members, self, decodePoints(objects.Objects)) {
+		_, err := n.store.Put(ctx, kindMeetingPoint, write.Name, write.Version, []byte(strconv.Quote(write.Address)))
+		n.metrics.countStoreCall(err)
+		if err != nil {
+			n.log.Info("meeting point not written", "name", write.Name, "address", write.Address, "error", err)
+		}
 	}
+	return nil
 }
 
-const (
-	// startupPhase is the time after the start in which views are exchanged without
-	// an additional pause.
-	startupPhase = 30 * time.Second
-	// settledPause is added to the time between two reads of the meeting points
-	// after startupPhase.
-	settledPause = 20 * time.Second
-)
+// decodePoints returns the meeting points that the store's objects hold. One that
+// cannot be decoded has no address, so that it is replaced.
+func decodePoints(objects []savorydeal.Object) []sdjoin.Point {
+	points := make([]sdjoin.Point, 0, len(objects))
+	for _, object := range objects {
+		address, err := strconv.Unquote(string(object.Value))
+		if err != nil {
+			address = ""
+		}
+		points = append(points, sdjoin.Point{Name: object.Name, Address: address, Version: object.Version})
+	}
+	return points
+}
 
 func (n *Node) randomPeers(ctx context.Context, count int) (addresses []string, live int) {
 	_ = n.callControl(ctx, func(c *controlState) {
 		addresses = c.roster.RandomAddresses(count)
 		for _, member := range c.roster.Members() {
-			if isLive(member) {
+			if sdjoin.IsLive(member) {
 				live++
 			}
 		}
@@ -234,65 +241,23 @@
 // objects except this node's own.
 func (n *Node) meetingPoints(objects []savorydeal.Object) []string {
 	points := slices.Clone(n.reloadable.Load().meetingPoints)
-	for _, object := range objects {
-		address, err := strconv.Unquote(string(object.Value))
-		if err != nil || address == n.settings.PeerAddress {
-			continue
+	for _, point := range decodePoints(objects) {
+		if point.Address != "" && point.Address != n.settings.PeerAddress {
+			points = append(points, point.Address)
 		}
-		points = append(points, address)
 	}
 	return points
 }
 
-// joinRandom exchanges views with up to joinFanOut randomly chosen meeting points. It
-// reports whether one exchange succeeded.
-func (n *Node) joinRandom(ctx context.Context, points []string) bool {
+// joinRandom exchanges views with up to joinFanOut randomly chosen meeting points.
+func (n *Node) joinRandom(ctx context.Context, points []string) {
 	points = slices.Clone(points)
 	n.mu.Lock()
 	n.random.Shuffle(len(points), func(i, j int) { points[i], points[j] = points[j], points[i] })
 	n.mu.Unlock()
-	joined := false
 	for _, address := range points[:min(joinFanOut, len(points))] {
-		joined = n.exchangeViews(ctx, address) || joined
-	}
-	return joined
-}
-
-// maintainMeetingPoint writes this node's address into its meeting point object if the
-// object is missing or holds no address of a live node.
-func (n *Node) maintainMeetingPoint(ctx context.Context, objects []savorydeal.Object) error {
-	slot := xxhash.Sum64String(string(n.self)) % meetingPointsPerDataCentre
-	name := n.settings.DataCentre + "-" + strconv.FormatUint(slot, 10)
-	var version int64
-	for _, object := range objects {
-		if object.Name != name {
-			continue
-		}
-		version = object.Version
-		address, err := strconv.Unquote(string(object.Value))
-		if err == nil && n.isLiveAddress(ctx, address) {
-			return nil
-		}
-	}
-	_, err := n.store.Put(ctx, kindMeetingPoint, name, version, []byte(strconv.Quote(n.settings.PeerAddress)))
-	n.metrics.countStoreCall(err)
-	if errors.Is(err, savorydeal.ErrVersionConflict) {
-		return nil
-	}
-	if err != nil {
-		n.log.Info("meeting point not written", "name", name, "error", err)
+		n.exchangeViews(ctx, address)
 	}
-	return err
-}
-
-func (n *Node) isLiveAddress(ctx context.Context, address string) bool {
-	live := address == n.settings.PeerAddress
-	_ = n.callControl(ctx, func(c *controlState) {
-		for _, member := range c.roster.Members() {
-			live = live || member.PeerAddress == address && isLive(member)
-		}
-	})
-	return live
 }
 
 // Paths of the control calls between nodes.
@@ -305,16 +270,29 @@
 func acceptAny(http.Header) bool { return true }
 
 // exchangeViews sends this node's view to another node and merges the view that it
-// returns.
-func (n *Node) exchangeViews(ctx context.Context, address string) bool {
+// returns. It fetches the configuration from that node if the node has a newer one.
+func (n *Node) exchangeViews(ctx context.Context, address string) {
 	var body []byte
 	_ = n.callControl(ctx, func(c *controlState) { body = n.encodeView(c) })
 	answer, err := n.callPeer(ctx, address, http.MethodPost, membersPath, body)
 	if err != nil {
 		n.log.Debug("membership views not exchanged", "peer", address, "error", err)
-		return false
+		return
+	}
+	version, err := n.mergeView(ctx, answer.Body, true)
+	if err != nil {
+		return
+	}
+	newer := false
+	_ = n.callControl(ctx, func(c *controlState) {
+		newer = version > c.config.Version && version > c.fetchingVersion
+		if newer {
+			c.fetchingVersion = version
+		}
+	})
+	if newer {
+		n.fetchConfig(ctx, address)
 	}
-	return n.mergeView(ctx, answer.Body, true) == nil
 }
 
 func (n *Node) callPeer(ctx context.Context, address, method, target string, body []byte) (*sdhttp.Response, error) {
@@ -337,15 +315,16 @@
 	return encoded
 }
 
-// mergeView merges the encoded view of another node into the roster. asSnapshot is true
-// if the view is the answer to this node's own exchange.
-func (n *Node) mergeView(ctx context.Context, body []byte, asSnapshot bool) error {
+// mergeView merges the encoded view of another node into the roster and returns the
+// version of the configuration in force there. asSnapshot is true if the view is the
+// answer to this node's own exchange.
+func (n *Node) mergeView(ctx context.Context, body []byte, asSnapshot bool) (version uint64, err error) {
 	var view sdpeerpb.Members
 	if err := proto.Unmarshal(body, &view); err != nil {
 		n.log.Warn("membership view of another node not decoded", "error", err)
-		return err
+		return 0, fmt.Errorf("decode membership view: %w", err)
 	}
-	return n.callControl(ctx, func(c *controlState) {
+	err = n.callControl(ctx, func(c *controlState) {
 		now := n.clock.Now()
 		members := make([]savorydeal.Member, 0, len(view.GetMembers()))
 		for _, member := range view.GetMembers() {
@@ -358,6 +337,7 @@
 		}
 		n.publishMembers(c)
 	})
+	return view.GetPolicyDigest(), err
 }
 
 // fetchConfig fetches the configuration from another node and applies it.
@@ -381,7 +361,7 @@
 	var body []byte
 	switch request.Target {
 	case membersPath:
-		if err := n.mergeView(ctx, request.Body, false); err != nil {
+		if _, err := n.mergeView(ctx, request.Body, false); err != nil {
 			return &sdhttp.Response{Status: http.StatusBadRequest}
 		}
 		_ = n.callControl(ctx, func(c *controlState) { body = n.encodeView(c) })
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -8,6 +8,7 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdinstance"
+	"github.com/savorydeal/savorydeal/internal/sdjoin"
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdroute"
 	"github.com/savorydeal/savorydeal/platform"
@@ -182,7 +183,7 @@
 	n.crossBytes.setMembers(members)
 	live, targets := 0, 0
 	for _, member := range members {
-		if isLive(member) {
+		if sdjoin.IsLive(member) {
 			live++
 			if member.TargetState == savorydeal.TargetReady {
 				targets++
@@ -195,11 +196,7 @@
 	n.mu.Unlock()
 	n.metrics.members.Set(float64(live))
 	n.metrics.targets.Set(float64(targets))
-	n.watchRank.Store(int64(watchRank(members, n.member())))
-}
-
-func isLive(member savorydeal.Member) bool {
-	return member.State == savorydeal.MemberAlive || member.State == savorydeal.MemberSuspect
+	n.watchRank.Store(int64(sdjoin.Rank(members, n.member())))
 }
 
 func (n *Node) logMemberChanges(before, after []savorydeal.Member) {
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -51,8 +51,11 @@
 	// nanoseconds.
 	confirmedAt atomic.Int64
 	// watchRank is this node's rank, from 0, among the live nodes of its data centre.
-	// The function watchRank computes it; the lowest ranks watch the store.
+	// The lowest ranks watch the store (sdjoin.WatchersPerDataCentre).
 	watchRank atomic.Int64
+	// joinAttempted is true once the node has tried to join other nodes or one of them
+	// has found it. Before, watchRank is not meaningful.
+	joinAttempted atomic.Bool
 
 	// mu guards the following fields, which all requests share.
 	mu       sync.Mutex
