Bound the heads of messages, and end only the request that panics

Cause: the parsers of net/http take heads of any size. A target, node or caller that sent bytes without a line end, or headers without end, filled the memory until the deadline of the request (a caller: until HeaderTimeout, and that was 10 s whatever the configuration said). MaxHeaderBytes was not enforced. A panic in the handler of one request ended the process.

Change: reads are limited while a head is read: 64 KB for an answer, the configured bytes for a request (431). The configured header timeout applies to the head; a body has 10 s more. Panics are recovered at the request, reported and counted (savorydeal_request_panics_total), and close its connection without an answer, because whether it has run is unknown. Tests still panic.

--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -47,6 +47,9 @@
 	// answer is read: the server may answer before it has read the whole
 	// request.
 	largeRequestBytes = 32 << 10
+	// maxAnswerHeadBytes bounds the status line and headers of an answer. Anything
+	// longer is no answer, and could fill the memory until the deadline.
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // Pool keeps reusable connections to one address. It is safe for concurrent
@@ -72,20 +75,8 @@
 	RequestHeads, RequestBodies, AnswerHeads, AnswerBodies atomic.Int64
 }
 
-// countedConn counts the bytes read from a connection.
-type countedConn struct {
-	net.Conn
-	received atomic.Int64
-}
-
-func (c *countedConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	c.received.Add(int64(n))
-	return n, err
-}
-
 type clientConn struct {
-	conn   *countedConn
+	conn   *meteredConn
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	// used is true if the connection has carried a request.
@@ -172,8 +163,8 @@
 	p.mu.Lock()
 	p.openConns++
 	p.mu.Unlock()
-	counted := &countedConn{Conn: conn}
-	return &clientConn{conn: counted, raw: raw, reader: bufio.NewReaderSize(counted, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
+	metered := &meteredConn{Conn: conn}
+	return &clientConn{conn: metered, raw: raw, reader: bufio.NewReaderSize(metered, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
 }
 
 // setTCPUserTimeout makes a connection fail if sent bytes stay unacknowledged
@@ -335,6 +326,7 @@
 // whether the connection can be reused.
 func (c *clientConn) readAnswer(method string, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	for range maxAnswersRead {
+		c.conn.limitReads(maxAnswerHeadBytes)
 		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, &RequestError{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
@@ -342,6 +334,7 @@
 		if hasNoBody(parsed.StatusCode) && parsed.StatusCode < http.StatusOK {
 			continue
 		}
+		c.conn.unlimitReads()
 		response, complete, err := c.readAnswerBody(parsed)
 		if err != nil {
 			return nil, false, &RequestError{Sent: true, ResponseStarted: true, Err: fmt.Errorf("read answer's body: %w", err)}
--- /dev/null
+++ b/internal/sdhttp/metered.go
@@ -0,0 +1,41 @@
+package sdhttp
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+)
+
+// errHeadTooLarge is the error of a message whose head exceeds its limit.
+var errHeadTooLarge = errors.New("message head is larger than the limit")
+
+// meteredConn counts the bytes read from a connection, and limits them while the head
+// of a message is read: the parsers of net/http accept heads of any size.
+type meteredConn struct {
+	net.Conn
+	received atomic.Int64
+	// limit is the value of received from which reads fail; 0 means no limit.
+	limit int64
+}
+
+// limitReads makes reads fail once this number of further bytes has been read.
+func (c *meteredConn) limitReads(bytes int64) {
+	c.limit = c.received.Load() + bytes
+}
+
+func (c *meteredConn) unlimitReads() {
+	c.limit = 0
+}
+
+func (c *meteredConn) Read(data []byte) (int, error) {
+	if c.limit > 0 {
+		left := c.limit - c.received.Load()
+		if left <= 0 {
+			return 0, errHeadTooLarge
+		}
+		data = data[:min(int64(len(data)), left)]
+	}
+	n, err := c.Conn.Read(data)
+	c.received.Add(int64(n))
+	return n, err
+}
--- a/internal/sdhttp/server.go
+++ b/internal/sdhttp/server.go
@@ -8,9 +8,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// writeTimeout bounds the time to write one answer to a slow caller.
 	writeTimeout = 10 * time.Second
+	// bodyTimeout bounds the time to read the body of one request.
+	bodyTimeout = 10 * time.Second
 	// maxBufferedBytes is the size of the largest answer body that is buffered.
 	// It is well below the memory of the smallest VM; larger answers are
 	// streamed.
@@ -34,12 +38,13 @@
 
 // Limits bound what a caller may send on a connection.
 type Limits struct {
-	// MaxHeaderBytes is not enforced.
+	// MaxHeaderBytes bounds the request line and headers. The bytes that are read
+	// ahead into the buffer of the connection do not count.
 	MaxHeaderBytes int
 	// MaxBodyBytes is the size of the largest request body that is accepted.
 	MaxBodyBytes int64
-	// HeaderTimeout bounds the time from a request's first byte to the end of
-	// its body.
+	// HeaderTimeout bounds the time from a request's first byte to the end of its
+	// headers. bodyTimeout bounds the time that its body takes in addition.
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection is kept without a request.
 	IdleTimeout time.Duration
@@ -83,6 +88,9 @@
 	Handler Handler
 	// Limits returns the limits for the next request.
 	Limits func() Limits
+	// Recovered, if not nil, is called after a panic in Handler, which then ends only
+	// the connection of its request.
+	Recovered func(value any, stack []byte)
 
 	keepAlivesDisabled atomic.Bool
 	mu                 sync.Mutex
@@ -108,7 +116,8 @@
 			time.Sleep(retryDelay)
 			continue
 		}
-		c := &serverConn{server: s, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+		metered := &meteredConn{Conn: conn}
+		c := &serverConn{server: s, conn: metered, reader: bufio.NewReaderSize(metered, readBufferBytes)}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		c.notFull.L = &c.mu
 		s.mu.Lock()
@@ -175,7 +184,7 @@
 
 type serverConn struct {
 	server *Server
-	conn   net.Conn
+	conn   *meteredConn
 	reader *bufio.Reader
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -242,10 +251,13 @@
 var errTooLarge = errors.New("request body is larger than the limit")
 
 func (c *serverConn) readRequest(limits Limits) (*Request, *exchange, error) {
+	c.conn.limitReads(int64(limits.MaxHeaderBytes))
 	parsed, err := http.ReadRequest(c.reader)
+	c.conn.unlimitReads()
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, fmt.Errorf("read request head: %w", err)
 	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if parsed.ContentLength > limits.MaxBodyBytes {
 		return nil, nil, errTooLarge
 	}
@@ -322,9 +334,16 @@
 // unless another goroutine already writes.
 func (c *serverConn) handle(request *Request, ex *exchange) {
 	defer c.server.active.Add(-1)
-	response := c.server.Handler(c.ctx, request)
+	response := c.callHandler(request)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if response == nil {
+		c.closing = true
+		c.cancel()
+		_ = c.conn.Close()
+		c.notFull.Signal()
+		return
+	}
 	ex.response = response
 	if c.writing {
 		return
@@ -337,6 +356,19 @@
 	c.notFull.Signal()
 }
 
+// callHandler calls the handler. It returns nil after a panic that Recovered has
+// reported: whether the request has run is then unknown, and so no answer is sent.
+func (c *serverConn) callHandler(request *Request) *Response {
+	if c.server.Recovered != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				c.server.Recovered(value, debug.Stack())
+			}
+		}()
+	}
+	return c.server.Handler(c.ctx, request)
+}
+
 // writeOldest writes the oldest answer. mu is held on entry and on return, but
 // not during the write.
 func (c *serverConn) writeOldest() {
@@ -365,7 +397,7 @@
 // closeWrite closes the write side and bounds the time for which the read side
 // stays open.
 func (c *serverConn) closeWrite() {
-	if tcp, ok := c.conn.(*net.TCPConn); ok {
+	if tcp, ok := c.conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -409,8 +441,11 @@
 		return
 	}
 	status := http.StatusBadRequest
-	if errors.Is(err, errTooLarge) {
+	switch {
+	case errors.Is(err, errTooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errHeadTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_ = writeResponse(c.conn, &exchange{response: &Response{Status: status}}, true)
--- a/internal/sdsidecar/metrics.go
+++ b/internal/sdsidecar/metrics.go
@@ -27,6 +27,7 @@
 	configVersion  prometheus.Gauge
 	eventsDropped  prometheus.Counter
 	linesDropped   prometheus.Counter
+	panics         prometheus.Counter
 	refusals       *prometheus.CounterVec
 	attempts       *prometheus.CounterVec
 }
@@ -50,13 +51,16 @@
 		eventsDropped: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "control_events_dropped_total", Help: "Control events dropped because the control queue was full."}),
 		linesDropped:  prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines about requests omitted by the rate limit."}),
 	}
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "request_panics_total", Help: "Requests ended by a panic; any increase indicates a bug in the program.",
+	})
 	m.refusals = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "refusals_total", Help: "Requests that this node refused, by reason.",
 	}, []string{"reason"})
 	m.attempts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "tries_total", Help: "Ended attempts, by service and verdict.",
 	}, []string{"service", "verdict"})
-	m.registry.MustRegister(m.refusals, m.attempts, m.requests, m.requestSeconds, m.storeCalls, m.members, m.targets, m.configVersion, m.eventsDropped, m.linesDropped,
+	m.registry.MustRegister(m.refusals, m.attempts, m.requests, m.requestSeconds, m.storeCalls, m.members, m.targets, m.configVersion, m.eventsDropped, m.linesDropped, m.panics,
 		collectors.NewGoCollector(), sdinvariant.Collector{})
 	return m
 }
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -13,6 +13,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -112,12 +113,24 @@
 	n.runs.init()
 	n.poison = sdpoison.New()
 	n.target = newTargetServer(n)
-	n.callerServer = &sdhttp.Server{Handler: n.handleCaller, Limits: n.callerLimits}
-	n.peerServer = &sdhttp.Server{Handler: n.handlePeer, Limits: peerLimits}
+	n.callerServer = &sdhttp.Server{Handler: n.handleCaller, Limits: n.callerLimits, Recovered: n.recovered()}
+	n.peerServer = &sdhttp.Server{Handler: n.handlePeer, Limits: peerLimits, Recovered: n.recovered()}
 	n.registerGauges()
 	return n, nil
 }
 
+// recovered returns the function that reports a panic of one request. It is nil in
+// tests, where a violated invariant has to end the process.
+func (n *Node) recovered() func(value any, stack []byte) {
+	if testing.Testing() {
+		return nil
+	}
+	return func(value any, stack []byte) {
+		n.metrics.panics.Inc()
+		n.log.Error("request ended by a panic", "panic", value, "stack", string(stack))
+	}
+}
+
 func newSeed() (uint64, error) {
 	var random [8]byte
 	if _, err := cryptorand.Read(random[:]); err != nil {
@@ -156,6 +169,7 @@
 		configured := table.Config().Limits
 		limits.MaxBodyBytes = configured.MaxBodyBytes
 		limits.MaxHeaderBytes = configured.MaxHeaderBytes
+		limits.HeaderTimeout = configured.HeaderTimeout
 		limits.IdleTimeout = configured.IdleTimeout
 	}
 	return limits
@@ -242,7 +256,7 @@
 		listener net.Listener
 		handler  sdhttp.Handler
 	}{{l.ready, n.handleReadiness}, {l.announce, n.handleAnnounce}, {l.metrics, n.handleMetrics}} {
-		server := &sdhttp.Server{Handler: internal.handler, Limits: peerLimits}
+		server := &sdhttp.Server{Handler: internal.handler, Limits: peerLimits, Recovered: n.recovered()}
 		servers = append(servers, server)
 		addServer(internal.listener, server.Serve)
 	}
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -139,7 +139,15 @@
 	id := request.Header.Get(s.node.headers.RequestID)
 	info := &runInfo{route: call.Route, rank: call.Rank, depth: call.Depth, deadline: deadline}
 	s.node.runs.begin(id, info)
+	ended := false
+	defer func() {
+		if !ended { // a panic ends only this call
+			s.node.runs.end(id)
+			s.releaseSlot()
+		}
+	}()
 	response, reply := s.run(ctx, call, request, id, deadline)
+	ended = true
 	s.node.runs.end(id)
 	runTime := time.Since(startedAt)
 	reply.DownstreamCalls = info.copyDownstreamCalls()
