--- a/internal/sdbalance/balance.go
+++ b/internal/sdbalance/balance.go
@@ -433,24 +433,20 @@
 	b.routeMeans[o.Route] = mean + time.Duration(routeMeanWeight*float64(o.RunTime-mean))
 }
 
-// ServiceLoad returns the combined load of a service's targets from their reports of
-// the last maxServiceLoadAge. Each target counts by the calls that it can complete in a
-// time, not by its concurrency limit: a slow target with a long queue takes little from
-// the capacity of a service whose other targets have room. It returns false if there is
-// no report.
+// ServiceLoad returns the combined load of a service's targets from their
+// reports of the last maxServiceLoadAge, weighted by their limits. It returns
+// false if there is none.
 func (b *Balancer) ServiceLoad(now time.Time, service string) (savorydeal.Pressure, bool) {
-	capacity := 0.0
-	var sum savorydeal.Pressure
+	calls, capacity, demand := 0, 0, 0.0
 	for _, t := range b.services[service] {
 		if t.reported.Limit > 0 && now.Sub(t.reportedAt) < maxServiceLoadAge {
-			throughput := float64(t.reported.Limit) / t.runTimeRatio
-			capacity += throughput
-			sum.Load += throughput * float64(t.reported.Running+t.reported.Queued) / float64(t.reported.Limit)
-			sum.Demand += throughput * t.reported.Demand
+			calls += t.reported.Running + t.reported.Queued
+			capacity += t.reported.Limit
+			demand += t.reported.Demand * float64(t.reported.Limit)
 		}
 	}
 	if capacity == 0 {
 		return savorydeal.Pressure{}, false
 	}
-	return savorydeal.Pressure{Load: sum.Load / capacity, Demand: sum.Demand / capacity}, true
+	return savorydeal.Pressure{Load: float64(calls) / float64(capacity), Demand: demand / float64(capacity)}, true
 }
--- a/internal/sdbalance/balance_test.go
+++ b/internal/sdbalance/balance_test.go
@@ -287,27 +287,3 @@
 	is.True(left < 1.6*excess) // and little more
 	is.True(peak < 2)          // calls at one target, per slot
 }
-
-// Two of four targets become five times slower and their queues fill, while the others
-// have room: the service as a whole is not overloaded, since calls can go to the others.
-func TestSlowTargetsCountByTheirThroughput(t *testing.T) {
-	is := is.New(t)
-	b := newBalancer(members(4))
-	now := start
-	for i := range 400 {
-		now = now.Add(time.Millisecond)
-		node, runTime := savorydeal.NodeID("n"+strconv.Itoa(i%4)), 20*time.Millisecond
-		load := sdbalance.Load{Running: 30, Limit: 50, Demand: 0.6}
-		if i%4 < 2 {
-			runTime = 100 * time.Millisecond
-			load = sdbalance.Load{Running: 50, Queued: 100, Limit: 50, Demand: 2}
-		}
-		b.Observe(now, sdbalance.Observation{Node: node, Route: "r", Result: sdbalance.ResultAnswered, RunTime: runTime, Load: load})
-	}
-	pressure, ok := b.ServiceLoad(now, "s")
-	is.True(ok)
-	// The fast targets complete 5/6 of the calls: 5/6 x 0.6 + 1/6 x 2 of the capacity
-	// is wanted, with some room for the moving averages.
-	is.True(pressure.Demand < 0.95)
-	is.True(pressure.Load < 1.15)
-}
