--- a/internal/sdhttp/client_test.go
+++ b/internal/sdhttp/client_test.go
@@ -171,15 +171,15 @@
 // if the answer is incomplete.
 func TestBytesOfExchangesAreCounted(t *testing.T) {
 	is := is.New(t)
-	first, second := okAnswer("a", "one"), okAnswer("a", "three")
-	broken := "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nno"
+	first, second := okAnswer("b", "one"), okAnswer("b", "three")
+	broken := "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 9\r\n\r\nno"
 	pool := startScriptedServer(t, first, second, broken)
 	var counts sdhttp.ByteCounts
 	for range 3 {
-		request := &sdhttp.Request{Method: http.MethodPut, Host: "h", Target: "/", Header: http.Header{idHeader: {"a"}}, Body: []byte("body"), Bytes: &counts}
-		_, _ = pool.Do(context.Background(), request, time.Now().Add(500*time.Millisecond), false, hasID("a"))
+		request := &sdhttp.Request{Method: http.MethodPut, Host: "h", Target: "/", Header: http.Header{idHeader: {"b"}}, Body: []byte("body"), Bytes: &counts}
+		_, _ = pool.Do(context.Background(), request, time.Now().Add(500*time.Millisecond), false, hasID("b"))
 	}
-	head := len("PUT / HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: 4\r\n\r\n")
+	head := len("PUT / HTTP/1.1\r\nHost: h\r\nId: b\r\nContent-Length: 4\r\n\r\n")
 	is.Equal(counts.RequestHeads.Load(), int64(3*head))
 	is.Equal(counts.RequestBodies.Load(), int64(3*len("body")))
 	is.Equal(counts.AnswerBodies.Load(), int64(len("one")+len("three")))
--- a/internal/sdjoin/planner_test.go
+++ b/internal/sdjoin/planner_test.go
@@ -41,9 +41,10 @@
 	points map[string]sdjoin.Point
 	reads  int
 	writes int
-	// readsByRank counts the reads of nodes with a rank of at least
-	// WatchersPerDataCentre.
+	// readsOfOthers counts the reads of nodes that are not watchers.
 	readsOfOthers int
+	views         map[int][]savorydeal.Member
+	ranks         map[savorydeal.NodeID]int
 }
 
 type node struct {
@@ -70,7 +71,7 @@
 	return p
 }
 
-func (p *platform) add(i int, firstStart bool) *node {
+func (p *platform) add(i int, firstStart bool) {
 	address := fmt.Sprintf("10.%d.%d.%d:7", i%dataCentres, i/250, i%250)
 	n := &node{
 		member: savorydeal.Member{
@@ -80,17 +81,36 @@
 		started: true, group: len(p.nodes),
 	}
 	p.nodes = append(p.nodes, n)
-	return n
+	p.changed()
 }
 
+// members returns the view of a node. It is computed once for each change of a group.
 func (p *platform) members(n *node) []savorydeal.Member {
-	var members []savorydeal.Member
-	for _, other := range p.nodes {
-		if other.started && other.group == n.group {
-			members = append(members, other.member)
+	if p.views == nil {
+		p.views, p.ranks = make(map[int][]savorydeal.Member), make(map[savorydeal.NodeID]int)
+		for _, other := range p.nodes {
+			if other.started {
+				p.views[other.group] = append(p.views[other.group], other.member)
+			}
 		}
 	}
-	return members
+	return p.views[n.group]
+}
+
+// rank returns the rank of a node in its view.
+func (p *platform) rank(n *node) int {
+	members := p.members(n)
+	rank, ok := p.ranks[n.member.Node]
+	if !ok {
+		rank = sdjoin.Rank(members, n.member)
+		p.ranks[n.member.Node] = rank
+	}
+	return rank
+}
+
+// changed drops the computed views after a change of the groups.
+func (p *platform) changed() {
+	p.views, p.ranks = nil, nil
 }
 
 // join merges the groups of a node and of the node at an address.
@@ -105,6 +125,7 @@
 				member.group = to
 			}
 		}
+		p.changed()
 	}
 }
 
@@ -128,7 +149,7 @@
 		return
 	}
 	members := p.members(n)
-	rank := sdjoin.Rank(members, n.member)
+	rank := p.rank(n)
 	if n.planner.Next(p.now, len(members)-1, rank) != sdjoin.StepRead {
 		return
 	}
@@ -215,6 +236,7 @@
 			n.started = false
 		}
 	}
+	p.changed()
 	p.run(35*time.Second, 100*time.Millisecond)
 	for _, point := range p.points {
 		is.True(!lost[point.Address])
