--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,9 @@
 	// answer is read: the server may answer before it has read the whole
 	// request.
 	largeRequestBytes = 32 << 10
+	// maxAnswerHeadBytes bounds the status line and headers of an answer. Anything
+	// longer is no answer, and could fill the memory until the deadline.
+	maxAnswerHeadBytes = 64 << 10
 )
 
 // Pool keeps reusable connections to one address. It is safe for concurrent
@@ -64,8 +68,15 @@
 	openConns int
 }
 
+// ByteCounts counts the bytes of requests and of their answers, without those of
+// the transport. Heads include the framing of bodies. It is safe for concurrent
+// use.
+type ByteCounts struct {
+	RequestHeads, RequestBodies, AnswerHeads, AnswerBodies atomic.Int64
+}
+
 type clientConn struct {
-	conn   net.Conn
+	conn   *meteredConn
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	// used is true if the connection has carried a request.
@@ -145,14 +156,15 @@
 	if err != nil {
 		return nil, &RequestError{ConnRefused: errors.Is(err, syscall.ECONNREFUSED), Err: fmt.Errorf("connect to %s: %w", p.Address, err)}
 	}
-	p.mu.Lock()
-	p.openConns++
-	p.mu.Unlock()
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		return nil, &RequestError{Err: fmt.Errorf("connection to %s: %w", p.Address, err)}
+		return nil, &RequestError{Err: fmt.Errorf("connection to %s: %w", p.Address, errors.Join(err, conn.Close()))}
 	}
-	return &clientConn{conn: conn, raw: raw, reader: bufio.NewReaderSize(conn, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
+	p.mu.Lock()
+	p.openConns++
+	p.mu.Unlock()
+	metered := &meteredConn{Conn: conn}
+	return &clientConn{conn: metered, raw: raw, reader: bufio.NewReaderSize(metered, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
 }
 
 // setTCPUserTimeout makes a connection fail if sent bytes stay unacknowledged
@@ -210,7 +222,11 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.Close() })
 	_ = c.conn.SetDeadline(deadline)
+	receivedBefore := c.conn.received.Load()
 	response, reusable, requestError := c.roundTrip(request, isOwnAnswer)
+	if request.Bytes != nil {
+		request.Bytes.countAnswer(response, c.conn.received.Load()-receivedBefore)
+	}
 	if requestError != nil {
 		stop()
 		p.discard(c)
@@ -221,7 +237,14 @@
 		return nil, requestError
 	}
 	if response.Remainder != nil {
-		response.Remainder = &remainderBody{ReadCloser: response.Remainder, onClose: func() { stop(); p.discard(c) }}
+		counted := c.conn.received.Load()
+		response.Remainder = &remainderBody{ReadCloser: response.Remainder, onClose: func() {
+			stop()
+			p.discard(c)
+			if request.Bytes != nil {
+				request.Bytes.AnswerBodies.Add(c.conn.received.Load() - counted)
+			}
+		}}
 		return response, nil
 	}
 	if !stop() || !reusable || c.reader.Buffered() > 0 {
@@ -232,6 +255,17 @@
 	return response, nil
 }
 
+// countAnswer counts the bytes received for a request; response is nil if it has no
+// complete answer.
+func (b *ByteCounts) countAnswer(response *Response, received int64) {
+	body := int64(0)
+	if response != nil {
+		body = min(received, int64(len(response.Body)))
+	}
+	b.AnswerBodies.Add(body)
+	b.AnswerHeads.Add(received - body)
+}
+
 // remainderBody is the streamed part of an answer. Its connection is not
 // reused.
 type remainderBody struct {
@@ -252,6 +286,10 @@
 func (c *clientConn) roundTrip(request *Request, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	b := buffers.Get().(*bytes.Buffer)
 	writeRequest(b, request)
+	if request.Bytes != nil {
+		request.Bytes.RequestHeads.Add(int64(b.Len() - len(request.Body)))
+		request.Bytes.RequestBodies.Add(int64(len(request.Body)))
+	}
 	written := make(chan error, 1)
 	large := b.Len() > largeRequestBytes
 	if large {
@@ -288,6 +326,7 @@
 // whether the connection can be reused.
 func (c *clientConn) readAnswer(method string, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	for range maxAnswersRead {
+		c.conn.limitReads(maxAnswerHeadBytes)
 		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, &RequestError{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
@@ -295,6 +334,7 @@
 		if hasNoBody(parsed.StatusCode) && parsed.StatusCode < http.StatusOK {
 			continue
 		}
+		c.conn.unlimitReads()
 		response, complete, err := c.readAnswerBody(parsed)
 		if err != nil {
 			return nil, false, &RequestError{Sent: true, ResponseStarted: true, Err: fmt.Errorf("read answer's body: %w", err)}
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -8,6 +8,7 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdinstance"
+	"github.com/savorydeal/savorydeal/internal/sdjoin"
 	"github.com/savorydeal/savorydeal/internal/sdroster"
 	"github.com/savorydeal/savorydeal/internal/sdroute"
 	"github.com/savorydeal/savorydeal/platform"
@@ -160,9 +161,13 @@
 		now := n.clock.Now()
 		report := configReport{version: c.config.Version, age: now.Sub(c.confirmedAt)}
 		datagram := sdgossip.Datagram{ConfigDigest: report.encode(), Membership: &packet.Message}
+		before := n.socket.Counts().SentBytes
 		if err := n.socket.Send(packet.To, datagram, now); err != nil {
 			n.log.Debug("datagram not sent", "peer", packet.To, "error", err)
 		}
+		if counts := n.controlBytes(packet.To, causeGossip); counts != nil {
+			counts.RequestBodies.Add(n.socket.Counts().SentBytes - before)
+		}
 	}
 }
 
@@ -175,9 +180,10 @@
 	members := c.roster.Members()
 	n.logMemberChanges(c.members, members)
 	c.members = members
+	n.crossBytes.setMembers(members)
 	live, targets := 0, 0
 	for _, member := range members {
-		if isLive(member) {
+		if sdjoin.IsLive(member) {
 			live++
 			if member.TargetState == savorydeal.TargetReady {
 				targets++
@@ -190,11 +196,7 @@
 	n.mu.Unlock()
 	n.metrics.members.Set(float64(live))
 	n.metrics.targets.Set(float64(targets))
-	n.watchRank.Store(int64(watchRank(members, n.member())))
-}
-
-func isLive(member savorydeal.Member) bool {
-	return member.State == savorydeal.MemberAlive || member.State == savorydeal.MemberSuspect
+	n.watchRank.Store(int64(sdjoin.Rank(members, n.member())))
 }
 
 func (n *Node) logMemberChanges(before, after []savorydeal.Member) {
--- a/internal/sdsidecar/node_test.go
+++ b/internal/sdsidecar/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,24 +74,6 @@
 	is.True(old.age > 50*time.Minute)
 }
 
-// Every data centre has exactly watchersPerDataCentre watchers.
-func TestWatchersPerDataCentre(t *testing.T) {
-	is := is.New(t)
-	var members []savorydeal.Member
-	for i := range 40 {
-		members = append(members, savorydeal.Member{
-			Node: savorydeal.NodeID(rune('a' + i)), State: savorydeal.MemberAlive, DataCentre: string(rune('x' + i%2)),
-		})
-	}
-	watchers := make(map[string]int)
-	for _, member := range members {
-		if watchRank(members, member) < watchersPerDataCentre {
-			watchers[member.DataCentre]++
-		}
-	}
-	is.Equal(watchers, map[string]int{"x": watchersPerDataCentre, "y": watchersPerDataCentre})
-}
-
 // A call belongs to the run whose ID, followed by a dot, is the prefix of its own ID,
 // and to no other run.
 func TestParentRun(t *testing.T) {
@@ -125,3 +108,26 @@
 	event(&node.control)
 	is.True(!ran)
 }
+
+// Only exchanges with nodes of other data centres count, each under its cause; a node
+// that is not in the view counts as one of another data centre.
+func TestBytesBetweenDataCentres(t *testing.T) {
+	is := is.New(t)
+	node := testNode(t)
+	node.crossBytes.setMembers([]savorydeal.Member{
+		{PeerAddress: "127.0.0.1:3", DataCentre: "z"}, {PeerAddress: "127.0.0.1:4", DataCentre: "y"},
+	})
+	is.True(node.controlBytes("127.0.0.1:3", causeGossip) == nil)
+	node.controlBytes("127.0.0.1:4", causeGossip).RequestBodies.Add(10)
+	node.controlBytes("127.0.0.1:5", membersPath).AnswerBodies.Add(7)
+	node.crossBytes.counts(causeCalls, "r").RequestHeads.Add(5)
+	is.Equal(node.crossBytes.total(), int64(22))
+	text := string(node.metricsResponse().Body)
+	for _, line := range []string{
+		`savorydeal_cross_dc_bytes_total{cause="gossip",part="request_body",route=""} 10`,
+		`savorydeal_cross_dc_bytes_total{cause="/members",part="answer_body",route=""} 7`,
+		`savorydeal_cross_dc_bytes_total{cause="calls",part="request_head",route="r"} 5`,
+	} {
+		is.True(strings.Contains(text, line))
+	}
+}
