Answer requests on connections that a stopping node has just accepted

Cause: 2.5 s after the stop signal a node began to close its idle connections, among them connections that it had accepted a moment before and whose first request was on its way; that request ended with the connection (EOF) and no answer. After 3 s the process ended as soon as no request was active, with the same effect.

Change: a connection counts as idle only 0.3 s after it was accepted or last answered, and the process ends when no connection of a caller is open, or at the end of the grace period. A stop lasts some 0.3 s longer.

--- a/internal/sdhttp/server.go
+++ b/internal/sdhttp/server.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		metered := &meteredConn{Conn: conn}
-		c := &serverConn{server: s, conn: metered, reader: bufio.NewReaderSize(metered, readBufferBytes)}
+		c := &serverConn{server: s, conn: metered, idleSince: time.Now(), reader: bufio.NewReaderSize(metered, readBufferBytes)}
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		c.notFull.L = &c.mu
 		s.mu.Lock()
@@ -140,13 +140,23 @@
 	s.keepAlivesDisabled.Store(true)
 }
 
-// CloseIdle closes the connections without a request.
-func (s *Server) CloseIdle() {
+// CloseIdle closes the connections that have had no request for at least minIdle. A
+// connection that was just accepted stays open, since its first request is on its way.
+func (s *Server) CloseIdle(minIdle time.Duration) {
+	idleSince := time.Now().Add(-minIdle)
 	for _, c := range s.connections() {
-		c.closeIfIdle()
+		c.closeIfIdle(idleSince)
 	}
 }
 
+// OpenConns returns the number of open connections, including those that wait for
+// their caller to close them after the last answer.
+func (s *Server) OpenConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close closes all connections at once.
 func (s *Server) Close() {
 	for _, c := range s.connections() {
@@ -194,6 +204,8 @@
 	notFull sync.Cond
 	// queue holds the exchanges that are not answered yet, oldest first.
 	queue []*exchange
+	// idleSince is when the connection was accepted or the queue became empty.
+	idleSince time.Time
 	// closing is true once the connection is about to be closed: no further
 	// answer is begun, and requests read from then on are dropped.
 	closing bool
@@ -383,6 +395,7 @@
 	err := writeResponse(c.conn, oldest, closeConn)
 	c.mu.Lock()
 	c.queue = c.queue[1:]
+	c.idleSince = time.Now()
 	if err != nil {
 		c.closing = true
 		c.cancel()
@@ -417,10 +430,11 @@
 	_, _ = io.Copy(io.Discard, c.reader)
 }
 
-func (c *serverConn) closeIfIdle() {
+// closeIfIdle closes the connection if it has had no request since idleSince.
+func (c *serverConn) closeIfIdle(idleSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.queue) > 0 || c.closing {
+	if len(c.queue) > 0 || c.closing || c.idleSince.After(idleSince) {
 		return
 	}
 	c.closing = true
--- a/internal/sdsidecar/stop.go
+++ b/internal/sdsidecar/stop.go
@@ -21,6 +21,10 @@
 	// callersCloseTime is the time after the stop signal at which the listener for
 	// callers closes: from then on no new requests are expected.
 	callersCloseTime = 3 * time.Second
+	// minIdleBeforeClose is how long a connection of a caller must have had no request
+	// before it is closed: the first request of a connection that was just accepted is
+	// still on its way.
+	minIdleBeforeClose = 300 * time.Millisecond
 	// killMargin is the time before the platform's kill at which the process ends.
 	killMargin       = 300 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
@@ -65,8 +69,8 @@
 			_ = l.callers.Close()
 			callersClosed = true
 		}
-		n.callerServer.CloseIdle()
-		if callersClosed && n.callerServer.ActiveRequests() == 0 && n.peerServer.ActiveRequests() == 0 {
+		n.callerServer.CloseIdle(minIdleBeforeClose)
+		if callersClosed && n.callerServer.OpenConns() == 0 && n.peerServer.ActiveRequests() == 0 {
 			break
 		}
 	}
