Close listeners, channels and exchanges that failed

Three faults that readers noticed, each with a test that failed first: - a node that could not listen on one of its addresses left the earlier ones open (TestListenFailsWhole); - after the end of the settings changes the node applied empty settings without end (TestReloadWaitsAfterTheLastChange); - the body of a refused exchange of views was merged as a view (TestRefusedViewExchangeChangesNothing).

--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -279,6 +279,11 @@
 		n.log.Debug("membership views not exchanged", "peer", address, "error", err)
 		return
 	}
+	if answer.Status != http.StatusOK || answer.Remainder != nil {
+		closeRemainder(answer)
+		n.log.Debug("membership views not exchanged", "peer", address, "error", fmt.Errorf("answer with status %d is no view", answer.Status))
+		return
+	}
 	version, err := n.mergeView(ctx, answer.Body, true)
 	if err != nil {
 		return
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -212,13 +212,23 @@
 	} {
 		listener, err := net.Listen("tcp", address.hostPort)
 		if err != nil {
-			return l, fmt.Errorf("listen on %s: %w", address.hostPort, err)
+			l.close()
+			return listeners{}, fmt.Errorf("listen on %s: %w", address.hostPort, err)
 		}
 		*address.destination = listener
 	}
 	return l, nil
 }
 
+// close closes the listeners that are open.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.announce, l.peers, l.metrics} {
+		if listener != nil {
+			_ = listener.Close() // nothing was accepted yet, so that nothing is lost
+		}
+	}
+}
+
 // Run serves until ctx ends and then stops gracefully. Settings received from changes
 // are applied while the node runs; changes may be nil.
 func (n *Node) Run(ctx context.Context, changes <-chan platform.Settings) error {
@@ -227,6 +237,7 @@
 		return err
 	}
 	if n.socket, err = sdgossip.Listen(n.settings.PeerAddress, 0, nil); err != nil {
+		l.close()
 		return err
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/sdsidecar/node_test.go
+++ b/internal/sdsidecar/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdclock"
+	"github.com/savorydeal/savorydeal/internal/sdhttp"
 	"github.com/savorydeal/savorydeal/platform"
 )
 
@@ -131,3 +134,68 @@
 		is.True(strings.Contains(text, line))
 	}
 }
+
+// A node that cannot listen on one of its addresses leaves none of the others open.
+func TestListenFailsWhole(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = taken.Close() }()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := free.Addr().String()
+	is.NoErr(free.Close())
+	node := testNode(t)
+	node.settings.CallerAddress, node.settings.ReadyAddress = address, taken.Addr().String()
+	_, err = node.listen()
+	is.True(err != nil)
+	again, err := net.Listen("tcp", address)
+	is.NoErr(err)
+	is.NoErr(again.Close())
+}
+
+// The end of the settings changes ends neither the node nor its waiting.
+func TestReloadWaitsAfterTheLastChange(t *testing.T) {
+	is := is.New(t)
+	node := testNode(t)
+	changes := make(chan platform.Settings, 1)
+	changed := node.settings
+	changed.MeetingPoints = []string{"127.0.0.9:1"}
+	changes <- changed
+	close(changes)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.NoErr(node.runReload(ctx, changes))
+	is.Equal(node.meetingPoints(nil), []string{"127.0.0.9:1"}) // not replaced by empty settings
+}
+
+// The answer of a node that refuses an exchange of views changes nothing, whatever its
+// body holds.
+func TestRefusedViewExchangeChangesNothing(t *testing.T) {
+	for status, live := range map[int]int{http.StatusOK: 2, http.StatusServiceUnavailable: 1} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			asked := make(chan struct{}, 1)
+			other := testNode(t)
+			now := other.clock.Now()
+			other.control.roster.Merge(now, []savorydeal.Member{{Node: "127.0.0.1:9", PeerAddress: "127.0.0.1:9", State: savorydeal.MemberAlive}})
+			body := other.encodeView(&other.control)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			server := &sdhttp.Server{Limits: peerLimits, Handler: func(context.Context, *sdhttp.Request) *sdhttp.Response {
+				asked <- struct{}{}
+				return &sdhttp.Response{Status: status, Body: body}
+			}}
+			go func() { _ = server.Serve(listener) }()
+			node := testNode(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() { _ = node.runControl(ctx) }()
+			node.exchangeViews(ctx, listener.Addr().String())
+			<-asked
+			_, known := node.randomPeers(ctx, 0)
+			is.Equal(known, live)
+		})
+	}
+}
--- a/internal/sdsidecar/reload.go
+++ b/internal/sdsidecar/reload.go
@@ -28,7 +28,11 @@
 func (n *Node) runReload(ctx context.Context, changes <-chan platform.Settings) error {
 	for {
 		select {
-		case settings := <-changes:
+		case settings, ok := <-changes:
+			if !ok {
+				changes = nil // no further changes: wait for the end of ctx
+				continue
+			}
 			n.reload(settings)
 		case <-ctx.Done():
 			return nil
