--- a/internal/sdconfig/replicator.go
+++ b/internal/sdconfig/replicator.go
@@ -347,8 +347,9 @@
 	return packets
 }
 
-// itemsInLeaf returns the versions held in a leaf, at most maxItemsPerMessage
-// in the order of their keys.
+// itemsInLeaf returns the versions held in a leaf in the order of their keys. Of more
+// than maxItemsPerMessage it returns as many, beginning at a random one, so that
+// repeated comparisons cover all of them.
 func (r *Replicator) itemsInLeaf(leaf int) []Item {
 	var items []Item
 	for key, entry := range r.store.entries {
@@ -357,7 +358,11 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b Item) int { return compareKeys(a.Key, b.Key) })
-	return items[:min(len(items), maxItemsPerMessage)]
+	if len(items) <= maxItemsPerMessage {
+		return items
+	}
+	start := r.random.IntN(len(items))
+	return append(slices.Clone(items[start:]), items[:start]...)[:maxItemsPerMessage]
 }
 
 // sampleIndexes returns up to count of the indexes, beginning at a random one,
--- a/internal/sdforward/attempts.go
+++ b/internal/sdforward/attempts.go
@@ -29,8 +29,15 @@
 
 	mu   sync.Mutex
 	byID map[string]*attempt
-	// blocked holds the time at which an attempt was blocked, by its ID.
-	blocked map[string]time.Time
+	// blocked holds the IDs of blocked attempts, blockedOrder the same with the times,
+	// oldest first.
+	blocked      map[string]struct{}
+	blockedOrder []blockedAttempt
+}
+
+type blockedAttempt struct {
+	id        string
+	blockedAt time.Time
 }
 
 // attempt is one call that has arrived, and its answer.
@@ -52,7 +59,7 @@
 
 // NewAttempts returns an empty set.
 func NewAttempts(clock savorydeal.Clock) *Attempts {
-	return &Attempts{clock: clock, byID: make(map[string]*attempt), blocked: make(map[string]time.Time)}
+	return &Attempts{clock: clock, byID: make(map[string]*attempt), blocked: make(map[string]struct{})}
 }
 
 // begin adds a call that has arrived. It reports false if the call must not run:
@@ -85,14 +92,19 @@
 	return nil, false
 }
 
+// block keeps an attempt from running. At the limit the oldest ones are dropped: the
+// bytes of their links are the least likely to arrive still.
 func (a *Attempts) block(id string) {
+	if _, ok := a.blocked[id]; ok {
+		return
+	}
 	now := a.clock.Now()
-	for other, since := range a.blocked {
-		if now.Sub(since) >= blockDuration || len(a.blocked) >= maxBlocked {
-			delete(a.blocked, other)
-		}
+	for len(a.blockedOrder) > 0 && (len(a.blockedOrder) >= maxBlocked || now.Sub(a.blockedOrder[0].blockedAt) >= blockDuration) {
+		delete(a.blocked, a.blockedOrder[0].id)
+		a.blockedOrder = a.blockedOrder[1:]
 	}
-	a.blocked[id] = now
+	a.blocked[id] = struct{}{}
+	a.blockedOrder = append(a.blockedOrder, blockedAttempt{id: id, blockedAt: now})
 }
 
 func (a *Attempts) remove(id string) {
--- a/internal/sdnode/exchange.go
+++ b/internal/sdnode/exchange.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return
 	}
+	// The rest of a large view reaches the other node by the comparisons of views.
 	n.exchange(ctx, address, messages[0], joinTimeout)
 }
 
--- a/internal/sdnode/handover.go
+++ b/internal/sdnode/handover.go
@@ -97,9 +97,12 @@
 		return false, err
 	}
 	var ready sdpeerpb.KeyFrame
-	if err := stream.Read(&ready); err != nil || ready.GetReady() == nil {
+	if err := stream.Read(&ready); err != nil {
 		return false, fmt.Errorf("node %s is not ready to take the keys over: %w", member.Node, err)
 	}
+	if ready.GetReady() == nil {
+		return false, fmt.Errorf("node %s is not ready to take the keys over: its first frame is not ready", member.Node)
+	}
 	handover, err := n.owner.Export()
 	if err != nil {
 		return false, err
--- a/internal/sdnode/inforce.go
+++ b/internal/sdnode/inforce.go
@@ -84,9 +84,10 @@
 // returns the queries without an answer.
 func (n *Node) queryCollectors(ctx context.Context, query sdconfig.Query, queries []collectorQuery, total *sdconfig.Answer) []collectorQuery {
 	answers := make(chan sdconfig.Answer, len(queries))
-	queries, err := doResult(ctx, n, func(c *control) []collectorQuery { return n.sendQueries(c, query, queries, answers) })
+	unsent := queries
+	queries, err := doResult(ctx, n, func(c *control) []collectorQuery { return n.sendQueries(c, query, unsent, answers) })
 	if err != nil {
-		return nil
+		return unsent // their nodes count as unreachable
 	}
 	answered := make(map[uint64]bool)
 	timeout := n.clock.After(queryTimeout)
--- a/internal/sdnode/security.go
+++ b/internal/sdnode/security.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -86,7 +87,11 @@
 	}
 	keyring := n.keyring.Load()
 	if datagramKeys != "" {
-		if _, err := sdgossip.ParseKeys(datagramKeys); err != nil || keyring == nil {
+		_, err := sdgossip.ParseKeys(datagramKeys)
+		if err == nil && keyring == nil {
+			err = errNoDatagramKeys
+		}
+		if err != nil {
 			return &sdtls.ParseError{Part: "datagram_keys", Cause: err, Remedy: "start the node with datagram keys, and separate keys by commas"}
 		}
 	}
@@ -103,6 +108,8 @@
 	return nil
 }
 
+var errNoDatagramKeys = errors.New("the node was started without datagram keys")
+
 // requireRole refuses requests that the operator's role does not allow. The role
 // comes from the operator's certificate or, without link security, from a setting
 // of the node.
--- a/internal/sdunknown/writer.go
+++ b/internal/sdunknown/writer.go
@@ -100,7 +100,8 @@
 	written.name = fmt.Sprintf("%d.%s.%d", written.writtenAt.UnixNano(), hex.EncodeToString([]byte(w.Node)), w.sequence)
 	value, err := encode(outcomes)
 	if err != nil {
-		return err
+		w.Queue.Requeue(outcomes)
+		return fmt.Errorf("write unknown outcomes: %w", err)
 	}
 	stored, err := w.Platform.Put(ctx, written.kind, written.name, 0, value)
 	if err != nil {
