Refuse a policy over 1 MiB instead of cutting it

The command line read the first MiB of a policy and ignored the rest without a word. Test: a case of TestExitCodeForOutcomeOfChange, failed first.

--- a/internal/sdcli/command_test.go
+++ b/internal/sdcli/command_test.go
@@ -155,6 +155,7 @@
 		{"platform down", &fakeNode{fail: problemOf(503, "not_run", "the platform is down")}, policyJSON, sdcommand.ExitFailed},
 		{"not in force in time", &fakeNode{lagging: []string{"10.0.0.8:7000"}}, policyJSON, sdcommand.ExitLagging},
 		{"truncated policy", &fakeNode{}, `{"service":`, sdcommand.ExitUsage},
+		{"policy over the limit", &fakeNode{lagging: []string{}}, policyJSON + strings.Repeat(" ", 1<<20), sdcommand.ExitUsage},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/sdcli/policy.go
+++ b/internal/sdcli/policy.go
@@ -131,10 +131,13 @@
 		defer file.Close()
 		name, input = c.options.file, file
 	}
-	content, err := io.ReadAll(io.LimitReader(input, maxPolicyBytes))
+	content, err := io.ReadAll(io.LimitReader(input, maxPolicyBytes+1))
 	if err != nil {
 		return policy, &usageError{text: fmt.Sprintf("read the policy: %v", err)}
 	}
+	if len(content) > maxPolicyBytes {
+		return policy, &usageError{text: fmt.Sprintf("%s is larger than %d bytes, the limit for a policy", name, maxPolicyBytes)}
+	}
 	if err := policy.UnmarshalJSON(content); err != nil {
 		return policy, &usageError{text: fmt.Sprintf("%s is not a valid policy: %v", name, err)}
 	}
