--- a/internal/sdentry/request.go
+++ b/internal/sdentry/request.go
@@ -59,7 +59,11 @@
 		headers:  sdheader.EndToEnd(r.Header),
 	}
 	if !servicePattern.MatchString(parsed.service) {
-		return request{}, badHeader("Host", "does not name a service; use lower-case letters, digits, dots and hyphens")
+		name := "Host"
+		if r.Header.Get(sdheader.Service) != "" {
+			name = sdheader.Service
+		}
+		return request{}, badHeader(name, "does not name a service; use lower-case letters, digits, dots and hyphens")
 	}
 	if refusal := checkHeaderValue(sdheader.Key, parsed.key, maxKeyBytes); refusal != nil {
 		return parsed, refusal
--- a/internal/sdentry/request_test.go
+++ b/internal/sdentry/request_test.go
@@ -113,6 +113,7 @@
 	}{
 		{"unknown service", "GET / HTTP/1.1\r\nHost: nobody\r\n\r\n", 404, "unknown_service", "nobody"},
 		{"malformed service name", "GET / HTTP/1.1\r\nHost: Orders_1\r\n\r\n", 400, "bad_request", "Host"},
+		{"malformed service header", get + "Savorydeal-Service: Orders_1\r\n\r\n", 400, "bad_request", "Savorydeal-Service"},
 		{"no such operation", "GET /elsewhere HTTP/1.1\r\nHost: orders\r\n\r\n", 404, "no_operation", "/elsewhere"},
 		{"path prefix that ends within a segment", "GET /stockroom HTTP/1.1\r\nHost: orders\r\n\r\n", 404, "no_operation", "/stockroom"},
 		{"no key", post + "Content-Length: 0\r\n\r\n", 400, "key_required", "Idempotency-Key"},
