End a handover that hangs by the deadline of the stop

Cause: while a stopping node hands its keys over, it reads the successor's answer with a deadline of 20 s of its own, whatever is left of the stop. A successor that cannot confirm, because the platform does not answer its write, held the stop up until the stop timeout, and the process ended with an error (exit code 7).

Ruled out: a frozen successor; its link is found unresponsive and closed in time.

Change: the stream is aborted when the handover's context ends, which leaves time to close connections.

--- a/internal/sdnode/handover.go
+++ b/internal/sdnode/handover.go
@@ -89,7 +89,10 @@
 		return false, err
 	}
 	defer stream.Abort()
-	_ = stream.SetReadDeadline(time.Now().Add(handoverTimeout))
+	// A successor that does not answer must not hold the stop up: reads and writes of
+	// the stream know nothing of ctx.
+	abortAtEnd := context.AfterFunc(ctx, func() { _ = stream.Abort() })
+	defer abortAtEnd()
 	if err := stream.Flush(); err != nil {
 		return false, err
 	}
