--- /dev/null
+++ b/internal/sdhttp/serverconn.go
@@ -0,0 +1,305 @@
+package sdhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+)
+
+// exchange is one request of a connection and its answer.
+type exchange struct {
+	// response is nil while the request is handled.
+	response *Response
+	// closeRequested is true if the caller asked to close the connection.
+	closeRequested bool
+	// http10 is true for an HTTP/1.0 request.
+	http10 bool
+	// headMethod is true for a HEAD request.
+	headMethod bool
+}
+
+type serverConn struct {
+	server *Server
+	conn   *meteredConn
+	reader *bufio.Reader
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// notFull is signalled when exchanges have left the queue.
+	notFull sync.Cond
+	// queue holds the exchanges that are not answered yet, oldest first.
+	queue []*exchange
+	// idleSince is when the connection was accepted or the queue became empty.
+	idleSince time.Time
+	// closing is true once the connection is about to be closed: no further
+	// answer is begun, and requests read from then on are dropped.
+	closing bool
+	// writing is true while one goroutine writes the answers that are ready.
+	writing bool
+}
+
+// readRequests reads requests until the connection is closed. It continues to
+// read while requests are handled, so that it notices when the caller
+// disconnects.
+func (c *serverConn) readRequests() {
+	defer c.server.remove(c)
+	defer c.cancel()
+	defer func() { _ = c.conn.Close() }()
+	for {
+		limits := c.server.Limits()
+		c.waitUntilNotFull()
+		_ = c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+		if _, err := c.reader.Peek(1); err != nil {
+			if isTimeout(err) && c.hasRequests() {
+				continue
+			}
+			c.closeAfterReadError(err)
+			return
+		}
+		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+		request, ex, err := c.readRequest(limits)
+		if err != nil {
+			c.rejectMalformed(err)
+			return
+		}
+		if !c.enqueue(ex) {
+			c.linger()
+			return
+		}
+		c.server.active.Add(1)
+		go c.handle(request, ex)
+	}
+}
+
+// closeAfterReadError ends a connection that the caller has closed or that was
+// idle for too long. A request that arrives while an idle connection is closed
+// is dropped without an answer.
+func (c *serverConn) closeAfterReadError(err error) {
+	if !isTimeout(err) {
+		return
+	}
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	c.linger()
+}
+
+// errTooLarge is the error of a request whose body exceeds MaxBodyBytes.
+var errTooLarge = errors.New("request body is larger than the limit")
+
+func (c *serverConn) readRequest(limits Limits) (*Request, *exchange, error) {
+	c.conn.limitReads(int64(limits.MaxHeaderBytes))
+	parsed, err := http.ReadRequest(c.reader)
+	c.conn.unlimitReads()
+	if err != nil {
+		return nil, nil, fmt.Errorf("read request head: %w", err)
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	if parsed.ContentLength > limits.MaxBodyBytes {
+		return nil, nil, errTooLarge
+	}
+	var body []byte
+	if parsed.ContentLength != 0 {
+		body, err = c.readBody(parsed, limits)
+		if err != nil {
+			return nil, nil, err
+		}
+	}
+	ex := &exchange{closeRequested: parsed.Close, http10: !parsed.ProtoAtLeast(1, 1), headMethod: parsed.Method == http.MethodHead}
+	return &Request{
+		Method: parsed.Method, Host: parsed.Host, Target: parsed.RequestURI, Header: parsed.Header,
+		Body: body, ReceivedAt: time.Now(),
+	}, ex, nil
+}
+
+func (c *serverConn) readBody(parsed *http.Request, limits Limits) ([]byte, error) {
+	if parsed.Header.Get("Expect") == "100-continue" {
+		parsed.Header.Del("Expect")
+		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, err
+		}
+	}
+	body, err := readLimited(parsed.Body, parsed.ContentLength, limits.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
+// readLimited reads a complete body. A body of unknown length (-1) may have up
+// to limit bytes; a known length must have been checked before.
+func readLimited(r io.Reader, length, limit int64) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
+// waitUntilNotFull waits until fewer than maxPipelined requests are unanswered.
+func (c *serverConn) waitUntilNotFull() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.queue) >= maxPipelined && !c.closing {
+		c.notFull.Wait()
+	}
+}
+
+func (c *serverConn) hasRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) > 0
+}
+
+// enqueue adds an exchange. It reports false if the connection is closing.
+func (c *serverConn) enqueue(ex *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.queue = append(c.queue, ex)
+	return true
+}
+
+// handle calls the handler and writes the answers that are ready, oldest first,
+// unless another goroutine already writes.
+func (c *serverConn) handle(request *Request, ex *exchange) {
+	defer c.server.active.Add(-1)
+	response := c.callHandler(request)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if response == nil {
+		c.closing = true
+		c.cancel()
+		_ = c.conn.Close()
+		c.notFull.Signal()
+		return
+	}
+	ex.response = response
+	if c.writing {
+		return
+	}
+	c.writing = true
+	for len(c.queue) > 0 && c.queue[0].response != nil && !c.closing {
+		c.writeOldest()
+	}
+	c.writing = false
+	c.notFull.Signal()
+}
+
+// callHandler calls the handler. It returns nil after a panic that Recovered has
+// reported: whether the request has run is then unknown, and so no answer is sent.
+func (c *serverConn) callHandler(request *Request) *Response {
+	if c.server.Recovered != nil {
+		defer func() {
+			if value := recover(); value != nil {
+				c.server.Recovered(value, debug.Stack())
+			}
+		}()
+	}
+	return c.server.Handler(c.ctx, request)
+}
+
+// writeOldest writes the oldest answer. mu is held on entry and on return, but
+// not during the write.
+func (c *serverConn) writeOldest() {
+	oldest := c.queue[0]
+	last := len(c.queue) == 1
+	closeConn := oldest.closeRequested || oldest.http10 || last && c.server.keepAlivesDisabled.Load()
+	if closeConn {
+		c.closing = true
+	}
+	c.mu.Unlock()
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := writeResponse(c.conn, oldest, closeConn)
+	c.mu.Lock()
+	c.queue = c.queue[1:]
+	c.idleSince = time.Now()
+	if err != nil {
+		c.closing = true
+		c.cancel()
+		_ = c.conn.Close()
+		return
+	}
+	if closeConn {
+		c.closeWrite()
+	}
+}
+
+// closeWrite closes the write side and bounds the time for which the read side
+// stays open.
+func (c *serverConn) closeWrite() {
+	if tcp, ok := c.conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
+// linger discards what the caller still sends: closing a connection with unread
+// bytes would reset it, and the caller could lose the last answer.
+func (c *serverConn) linger() {
+	c.mu.Lock()
+	for len(c.queue) > 0 && c.writing {
+		c.mu.Unlock()
+		time.Sleep(retryDelay)
+		c.mu.Lock()
+	}
+	c.mu.Unlock()
+	c.closeWrite()
+	_, _ = io.Copy(io.Discard, c.reader)
+}
+
+// closeIfIdle closes the connection if it has had no request since idleSince.
+func (c *serverConn) closeIfIdle(idleSince time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.queue) > 0 || c.closing || c.idleSince.After(idleSince) {
+		return
+	}
+	c.closing = true
+	c.closeWrite()
+}
+
+// rejectMalformed answers a malformed request and closes the connection. It
+// sends no answer while earlier requests are unanswered.
+func (c *serverConn) rejectMalformed(err error) {
+	if isTimeout(err) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	c.mu.Lock()
+	idle := len(c.queue) == 0 && !c.closing
+	c.closing = true
+	c.mu.Unlock()
+	if !idle {
+		return
+	}
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, errHeadTooLarge):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	}
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = writeResponse(c.conn, &exchange{response: &Response{Status: status}}, true)
+	c.linger()
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/sdjoin/planner.go
+++ b/internal/sdjoin/planner.go
@@ -135,18 +135,13 @@
 func Rank(members []savorydeal.Member, self savorydeal.Member) int {
 	rank := 0
 	for _, member := range members {
-		if member.Node != self.Node && IsLive(member) && member.DataCentre == self.DataCentre && compareRank(member, self) < 0 {
+		if member.Node != self.Node && member.Live() && member.DataCentre == self.DataCentre && compareRank(member, self) < 0 {
 			rank++
 		}
 	}
 	return rank
 }
 
-// IsLive reports whether a member is alive or suspect.
-func IsLive(member savorydeal.Member) bool {
-	return member.State == savorydeal.MemberAlive || member.State == savorydeal.MemberSuspect
-}
-
 // Write is a meeting point to write to the store.
 type Write struct {
 	Name    string
@@ -172,7 +167,7 @@
 	}
 	byRank := []savorydeal.Member{self}
 	for _, member := range members {
-		if member.Node != self.Node && IsLive(member) && member.DataCentre == self.DataCentre {
+		if member.Node != self.Node && member.Live() && member.DataCentre == self.DataCentre {
 			byRank = append(byRank, member)
 		}
 	}
@@ -195,6 +190,6 @@
 
 func holdsLive(members []savorydeal.Member, self savorydeal.Member, address string) bool {
 	return address == self.PeerAddress || slices.ContainsFunc(members, func(m savorydeal.Member) bool {
-		return m.PeerAddress == address && IsLive(m)
+		return m.PeerAddress == address && m.Live()
 	})
 }
--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -229,7 +229,7 @@
 	_ = n.callControl(ctx, func(c *controlState) {
 		addresses = c.roster.RandomAddresses(count)
 		for _, member := range c.roster.Members() {
-			if sdjoin.IsLive(member) {
+			if member.Live() {
 				live++
 			}
 		}
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -183,7 +183,7 @@
 	n.crossBytes.setMembers(members)
 	live, targets := 0, 0
 	for _, member := range members {
-		if sdjoin.IsLive(member) {
+		if member.Live() {
 			live++
 			if member.TargetState == savorydeal.TargetReady {
 				targets++
--- a/internal/sdsidecar/crash.go
+++ b/internal/sdsidecar/crash.go
@@ -13,7 +13,6 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
-	"github.com/savorydeal/savorydeal/internal/sdjoin"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 )
@@ -144,7 +143,7 @@
 	var addresses []string
 	err = n.callControl(ctx, func(c *controlState) {
 		for _, member := range c.members {
-			if member.Node != n.self && sdjoin.IsLive(member) && member.Service == n.settings.Service {
+			if member.Node != n.self && member.Live() && member.Service == n.settings.Service {
 				addresses = append(addresses, member.PeerAddress)
 			}
 		}
--- a/internal/sdsidecar/traffic.go
+++ b/internal/sdsidecar/traffic.go
@@ -7,8 +7,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/savorydeal/savorydeal/internal/sdjoin"
 )
 
 // trafficLogInterval is the time between two log lines about the traffic of each route
@@ -82,7 +80,7 @@
 		err := n.callControl(ctx, func(c *controlState) {
 			version, confirmedAgo = c.config.Version, n.clock.Now().Sub(c.confirmedAt)
 			for _, member := range c.members {
-				if sdjoin.IsLive(member) {
+				if member.Live() {
 					members++
 				}
 			}
--- a/member.go
+++ b/member.go
@@ -54,6 +54,11 @@
 	Slots int
 }
 
+// Live reports whether the node is alive or suspect.
+func (m Member) Live() bool {
+	return m.State == MemberAlive || m.State == MemberSuspect
+}
+
 // Routable reports whether new calls may be sent to the member's target.
 func (m Member) Routable() bool {
 	return m.State == MemberAlive && m.TargetState == TargetReady
