--- a/review/standin/app.go
+++ b/review/standin/app.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -89,23 +90,30 @@
 	}
 }
 
-func (a *app) sendBeat() bool {
+// nextBeat returns the body of the next heartbeat.
+func (a *app) nextBeat() string {
 	a.mu.Lock()
-	if a.leaving {
-		a.mu.Unlock()
-		return true
-	}
+	defer a.mu.Unlock()
 	a.seq++
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftS":0,"seq":%d,"born":%d}`,
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","warmupLeftS":0,"seq":%d,"born":%d}`,
 		a.machine.service, a.machine.address(portApp), a.machine.zone, appSlots, a.seq, a.born)
-	seq := a.seq
+}
+
+// sendBeat sends a heartbeat, unless the application is leaving, and reports whether it was
+// acknowledged.
+func (a *app) sendBeat() bool {
+	a.mu.Lock()
+	leaving := a.leaving
 	a.mu.Unlock()
-	acked := a.call(http.MethodPut, body)
+	if leaving {
+		return true
+	}
+	acked := a.call(http.MethodPut, a.nextBeat())
 	if acked {
 		a.mu.Lock()
 		a.beatAt = time.Now()
 		a.mu.Unlock()
-		a.machine.world.record.add("upstream %s: heartbeat %d acknowledged", a.identity, seq)
+		a.machine.world.record.add("upstream %s: heartbeat acknowledged", a.identity)
 	}
 	return acked
 }
@@ -132,17 +140,19 @@
 	return answer.StatusCode/100 == 2
 }
 
-// leave sends DELETE, as an upstream does that never reports draining. It reports when the
+// leave sends DELETE, as an upstream does that never reports draining, and returns when the
 // call was acknowledged.
-func (a *app) leave() (time.Time, bool) {
+func (a *app) leave() (time.Time, error) {
 	a.mu.Lock()
 	a.leaving = true
 	a.seq++
 	body := fmt.Sprintf(`{"seq":%d,"born":%d}`, a.seq, a.born)
 	a.mu.Unlock()
-	acked := a.call(http.MethodDelete, body)
-	a.machine.world.record.add("upstream %s: DELETE acknowledged: %v", a.identity, acked)
-	return time.Now(), acked
+	if !a.call(http.MethodDelete, body) {
+		return time.Time{}, errors.New("the node has not acknowledged the DELETE")
+	}
+	a.machine.world.record.add("upstream %s: DELETE acknowledged", a.identity)
+	return time.Now(), nil
 }
 
 // end ends the application: it serves no more.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// restart kills the machine's node and starts it again.
+func (m *machine) restart() error {
+	m.kill()
+	time.Sleep(restartDelay)
+	return m.startNode()
+}
+
 // startedAt returns when the present process of the node was started.
 func (m *machine) startedAt() time.Time {
 	m.mu.Lock()
