--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -67,7 +67,7 @@
 // playLeaving plays a case in which the upstream of one machine leaves. leave begins just
 // after a heartbeat of it was acknowledged, and returns when its DELETE was acknowledged.
 func playLeaving(w *world, leave func(leaver *machine) (time.Time, error)) ([]string, error) {
-	b := behaviour{work: 60 * time.Millisecond, bytes: 2000}
+	b := behaviour{work: 250 * time.Millisecond, bytes: 2000}
 	var machines []*machine
 	for _, place := range [][2]string{{"howrah", "orders"}, {"kolkata", "orders"}, {"howrah", "catalogue"}} {
 		m, err := w.addMachine(place[0], place[1], b)
@@ -90,6 +90,7 @@
 	stop := make(chan struct{})
 	var mu sync.Mutex
 	ends := make(map[string]int)
+	failed := make(map[string]int)
 	next := func(i int) request {
 		if i%4 == 0 {
 			return request{method: http.MethodPost, path: "/book/1", body: []byte("order"), timeout: 3 * time.Second}
@@ -101,9 +102,12 @@
 		mu.Lock()
 		defer mu.Unlock()
 		ends[fmt.Sprintf("%s %d error=%v", q.method, a.status, a.err != nil)]++
+		if !a.whole {
+			failed[a.id] = a.status
+		}
 	}
-	load(&group, front, 4, 40*time.Millisecond, stop, next, seen)
-	load(&group, other, 2, 40*time.Millisecond, stop, next, seen)
+	load(&group, front, 8, 40*time.Millisecond, stop, next, seen)
+	load(&group, other, 4, 40*time.Millisecond, stop, next, seen)
 	time.Sleep(2 * time.Second)
 	for beat := leaver.app.lastBeat(); !leaver.app.lastBeat().After(beat); time.Sleep(5 * time.Millisecond) {
 	}
@@ -127,6 +131,11 @@
 	}
 	var breaks []string
 	late := 0
+	for _, one := range leaver.app.seen() {
+		if status, ok := failed[one.id]; ok && one.method == http.MethodPost && one.at.After(ackedAt) {
+			w.record.add("lost: order %s, begun %.3f s after the ack, ended with the upstream; the client got status %d", one.id, one.at.Sub(ackedAt).Seconds(), status)
+		}
+	}
 	for _, one := range leaver.app.seen() {
 		if one.at.After(ackedAt) {
 			late++
