--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,11 +18,11 @@
 // play is one case. It returns the breaks of its rule that count.
 type play func(w *world, trouble bool) (breaks []string, err error)
 
-var plays = map[string]play{"leave": playLeave, "late": playLate, "large": playLarge, "memory": playMemory}
+var plays = map[string]play{"leave": playLeave, "late": playLate, "large": playLarge, "memory": playMemory, "readers": playReaders}
 
 func main() {
 	if len(os.Args) < 4 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin leave|late|large|memory RECORD PROGRAM ARGUMENTS...")
+		fmt.Fprintln(os.Stderr, "usage: standin leave|late|large|memory|readers RECORD PROGRAM ARGUMENTS...")
 		os.Exit(2)
 	}
 	breaks, err := run(plays[os.Args[1]], os.Args[2], os.Args[3:])
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -118,6 +118,15 @@
 	group.Wait()
 	close(stopWatches)
 	watches.Wait()
+	for i, m := range w.machines {
+		w.record.add("node of %s: at most %d MB of %d MB, killed %d times for it", m.name, peaks[i], memoryMB, kills[i])
+	}
+	return cutKept(w, answers, sound), nil
+}
+
+// cutKept returns the requests of kept connections that were passed on to the sound upstream
+// and whose connection was closed without an answer, nil if they are no more than three.
+func cutKept(w *world, answers []answer, sound *machine) []string {
 	reached := make(map[string]bool)
 	for _, one := range sound.app.seen() {
 		reached[one.id] = true
@@ -133,12 +142,9 @@
 				a.id, sound.app.identity, a.done.Sub(a.sent).Seconds(), a.err))
 		}
 	}
-	for i, m := range w.machines {
-		w.record.add("node of %s: at most %d MB of %d MB, killed %d times for it", m.name, peaks[i], memoryMB, kills[i])
-	}
 	w.record.add("answers: %d of %d whole; kept connections cut: %d", whole, len(answers), len(breaks))
 	if len(breaks) <= 3 { // the rule allows three
-		return nil, nil
+		return nil
 	}
-	return breaks, nil
+	return breaks
 }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -23,6 +23,7 @@
 	portStore    = 20200
 	portApp      = 20201
 	portReady    = 20202
+	portInbound  = 20203
 	portOutbound = 20204
 	portControl  = 20206
 	portPeers    = 20220
@@ -161,7 +162,7 @@
 		"nodeId": m.name, "role": "node", "machineClass": "sidecar", "serves": []string{"sidecar"}, "ip": m.ip, "zone": m.zone,
 		"region": "bengal", "zones": map[string]string{"howrah": "bengal", "kolkata": "bengal", "hooghly": "bengal"},
 		"listenAddrs": map[string]string{
-			"inbound": m.address(portReady - 2 + 1000), "outbound": m.address(portOutbound), "ready": m.address(portReady), "control": m.address(portControl),
+			"inbound": m.address(portInbound), "outbound": m.address(portOutbound), "ready": m.address(portReady), "control": m.address(portControl),
 		},
 		"internalPortRange": []int{portPeers, portPeersEnd}, "seedNodes": []string{}, "bootstrap": m.first, "faultCounted": false,
 		"limits":  map[string]any{"cpuShare": 0.64, "cpuCores": 1, "memoryMb": memoryMB, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
