--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -10,7 +10,7 @@
 fi
 export TMPDIR
 TMPDIR="$(mktemp -d)" || exit 2
-timeout --kill-after=5 110 target/review-standin readers "$folder/record.txt" target/savorydeal-node sidecar
+timeout --kill-after=5 110 target/review-standin late "$folder/record.txt" target/savorydeal-node sidecar
 code=$?
 rm -rf "$TMPDIR"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
