--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -92,7 +92,7 @@
 	ends := make(map[string]int)
 	failed := make(map[string]int)
 	next := func(i int) request {
-		if i%4 == 0 {
+		if i%2 == 0 {
 			return request{method: http.MethodPost, path: "/book/1", body: []byte("order"), timeout: 3 * time.Second}
 		}
 		return request{method: http.MethodGet, path: "/look/1", timeout: 3 * time.Second}
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -78,7 +78,7 @@
 		defer mu.Unlock()
 		answers = append(answers, a)
 	}
-	load(&group, front, 12, 20*time.Millisecond, stop, func(int) request {
+	load(&group, front, 24, 20*time.Millisecond, stop, func(int) request {
 		return request{method: http.MethodGet, path: "/track/1", timeout: 800 * time.Millisecond}
 	}, seen)
 	body := make([]byte, orderBytes)
