--- a/review/standin/readers.go
+++ b/review/standin/readers.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetReadBuffer(64 << 10)
 	}
