sdinstance: a leave call binds before the target's first announcement

Cause: the node had been restarted after the target's last heartbeat. It knew the target from its health check, and Tracker.Leave accepted only a target that had announced itself to this process.

A leave call now binds the target that this process knows, in whatever way, and the one that it names if it knows none. The start time in the call completes that of the health check, so that a heartbeat sent before the call changes nothing, and the next start does.

--- a/internal/sdinstance/tracker.go
+++ b/internal/sdinstance/tracker.go
@@ -15,13 +15,13 @@
 
 const (
 	// ResultAccepted means that the announcement is the newest of the target, or
-	// that the leave call is from the last announced target.
+	// that the leave call is from the present target.
 	ResultAccepted Result = "taken"
 	// ResultStale means that a newer announcement was accepted before, or that a
 	// leave call is for another start of the target.
 	ResultStale Result = "old"
 	// ResultForeign means that the announcement is from a target that is not on
-	// this VM, or that the leave call is not from the last announced target.
+	// this VM, or that the leave call is not from the target that this process knows.
 	ResultForeign Result = "foreign"
 )
 
@@ -68,7 +68,7 @@
 	if t.announced && !newer(heartbeat, previous) {
 		return ResultStale
 	}
-	sameStart := t.announced && heartbeat.Started == previous.Started && heartbeat.Identity == previous.Identity
+	sameStart := heartbeat.Start() == previous.Start()
 	t.announced = true
 	t.state.Heartbeat = heartbeat
 	switch {
@@ -103,14 +103,21 @@
 
 // Leave handles the call by which a target reports that it is leaving. started
 // is its start time in Unix milliseconds, 0 if the call does not state it. A
-// call for another start time is stale.
+// call for another start time is stale. The call may come before the target's first
+// announcement to this process, and before its health check.
 func (t *Tracker) Leave(now time.Time, identity string, started int64) Result {
-	if !t.announced || identity != t.state.Heartbeat.Identity {
+	known := &t.state.Heartbeat
+	switch {
+	case known.Identity == "":
+		t.state = State{Target: savorydeal.TargetAbsent, Heartbeat: savorydeal.Heartbeat{Identity: identity, Service: t.service, Address: t.address}}
+	case identity != known.Identity:
 		return ResultForeign
-	}
-	if started != 0 && started != t.state.Heartbeat.Started {
+	case started != 0 && known.Started != 0 && started != known.Started:
 		return ResultStale
 	}
+	if known.Started == 0 {
+		known.Started = started
+	}
 	t.state.Target = savorydeal.TargetLeaving
 	if t.state.LeftAt.IsZero() {
 		t.state.LeftAt = now
@@ -136,7 +143,7 @@
 // estimate that is used until the first announcement. It reports whether the
 // target was marked.
 func (t *Tracker) Discovered(now time.Time, identity string, slots int) bool {
-	if t.announced || identity == "" {
+	if t.announced || identity == "" || identity == t.state.Heartbeat.Identity && !t.state.LeftAt.IsZero() {
 		return false
 	}
 	t.state = State{Target: savorydeal.TargetReady, ReadySince: now, Heartbeat: savorydeal.Heartbeat{
--- a/internal/sdinstance/tracker_test.go
+++ b/internal/sdinstance/tracker_test.go
@@ -97,3 +97,39 @@
 	is.True(!tracker.StatedLeaving(start, savorydeal.TargetStart{Identity: "i", Started: 1}))
 	is.Equal(tracker.State().Target, savorydeal.TargetReady)
 }
+
+// Guards against an acknowledged leave call that changes nothing because the target has not
+// announced itself to this process: the node was restarted since its last announcement.
+func TestLeaveBeforeFirstAnnouncement(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		discovered string
+		started    int64
+		result     sdinstance.Result
+		state      savorydeal.TargetState
+	}{
+		{"known from its health check", "i", 5, sdinstance.ResultAccepted, savorydeal.TargetLeaving},
+		{"known from its health check, start time not stated", "i", 0, sdinstance.ResultAccepted, savorydeal.TargetLeaving},
+		{"not known", "", 5, sdinstance.ResultAccepted, savorydeal.TargetLeaving},
+		{"another target has been discovered", "k", 5, sdinstance.ResultForeign, savorydeal.TargetReady},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := sdinstance.New("s", "a")
+			tracker.Discovered(start, c.discovered, 3)
+			is.Equal(tracker.Leave(start, "i", c.started), c.result)
+			is.Equal(tracker.State().Target, c.state)
+			if c.result != sdinstance.ResultAccepted {
+				return
+			}
+			is.Equal(tracker.State().LeftAt, start)
+			is.True(!tracker.Discovered(start, "i", 3))
+			if c.started != 0 {
+				tracker.Announce(start, heartbeat("i", c.started, 4, false)) // sent before the leave call
+				is.Equal(tracker.State().Target, savorydeal.TargetLeaving)
+			}
+			is.Equal(tracker.Announce(start, heartbeat("i", 9, 1, false)), sdinstance.ResultAccepted)
+			is.Equal(tracker.State().Target, savorydeal.TargetReady)
+		})
+	}
+}
--- a/internal/sdstandapp/app.go
+++ b/internal/sdstandapp/app.go
@@ -87,6 +87,8 @@
 	sequence int64
 	leaving  bool
 	closed   bool
+	// silent is true while no heartbeats are sent.
+	silent   bool
 	failures func(id string) Failure
 	// statements are headers that the target adds to all of its answers.
 	statements http.Header
@@ -161,7 +163,9 @@
 	for ctx.Err() == nil && !a.isClosed() {
 		// The error is ignored: a node that is not up yet receives a later
 		// heartbeat.
-		_ = a.SendHeartbeat(ctx)
+		if !a.isSilent() {
+			_ = a.SendHeartbeat(ctx)
+		}
 		select {
 		case <-time.After(a.config.HeartbeatInterval):
 		case <-ctx.Done():
@@ -175,6 +179,12 @@
 	return a.closed
 }
 
+func (a *App) isSilent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.silent
+}
+
 // Leave sends a heartbeat that marks the target as leaving, as do all later ones.
 func (a *App) Leave(ctx context.Context) error {
 	a.mu.Lock()
@@ -183,20 +193,53 @@
 	return a.SendHeartbeat(ctx)
 }
 
+// SetSilent stops the heartbeats of SendHeartbeats, or lets them go on.
+func (a *App) SetSilent(silent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = silent
+}
+
+// SendLeave announces with a call of its own, in place of a heartbeat, that the target is
+// leaving. No heartbeats follow.
+func (a *App) SendLeave(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving, a.silent = true, true
+	a.mu.Unlock()
+	body, err := platformtest.EncodeLeave(a.config.Started)
+	if err != nil {
+		return err
+	}
+	return a.announce(ctx, http.MethodDelete, body)
+}
+
 // SendHeartbeat sends one heartbeat to the node.
 func (a *App) SendHeartbeat(ctx context.Context) error {
+	return a.NextHeartbeat()(ctx)
+}
+
+// NextHeartbeat returns a function that sends the heartbeat which is due now: it may be
+// called late.
+func (a *App) NextHeartbeat() func(ctx context.Context) error {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.sequence++
 	heartbeat := savorydeal.Heartbeat{
 		Identity: a.config.Identity, Started: a.config.Started, Sequence: a.sequence, Service: a.config.Service, Address: a.config.Address,
 		DataCentre: a.config.DataCentre, Slots: a.config.Slots, Leaving: a.leaving,
 	}
-	a.mu.Unlock()
-	body, err := platformtest.EncodeHeartbeat(heartbeat)
-	if err != nil {
-		return err
+	return func(ctx context.Context) error {
+		body, err := platformtest.EncodeHeartbeat(heartbeat)
+		if err != nil {
+			return err
+		}
+		return a.announce(ctx, http.MethodPut, body)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+a.config.AnnounceAddress+platform.HeartbeatPathPrefix+a.config.Identity, bytes.NewReader(body))
+}
+
+// announce sends a heartbeat or a leave call to the node.
+func (a *App) announce(ctx context.Context, method string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+a.config.AnnounceAddress+platform.HeartbeatPathPrefix+a.config.Identity, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -206,7 +249,7 @@
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
-		return fmt.Errorf("heartbeat of %s answered with status %d", a.config.Identity, answer.StatusCode)
+		return fmt.Errorf("%s of %s answered with status %d", method, a.config.Identity, answer.StatusCode)
 	}
 	return nil
 }
