sdsidecar: a node found by another knows the targets before it is ready

Callers of a node that was restarted while the store was silent got 503 "no_target" for requests that other targets had room for.

Cause: the new process waits for the store's list of meeting points. Another node that still holds it as a member pings it in the meantime; the datagram carries the configuration's version, and the new process fetches the configuration from there. With it the node is ready, while its view holds that one node alone. Evidence: a run of the tests for departures with a silent store, "configuration in force source=127.92.29.3:20120", then seven "request refused reason=no_target" within 0.2 s.

A node without a configuration now exchanges views with the node that found it, and fetches the configuration afterwards, so that it is not ready before it knows the members.

--- a/internal/sdcluster/failures_test.go
+++ b/internal/sdcluster/failures_test.go
@@ -240,3 +240,26 @@
 		is.True(run.Target != "i-"+leaving.Name || run.Started.Before(leftAt))
 	}
 }
+
+// Guards against refusals at a node that is ready but knows one other node only: it was
+// restarted while the store is silent, so that another node has to find it.
+func TestNodeThatIsFoundByAnotherKnowsTargetsOnceReady(t *testing.T) {
+	is := is.New(t)
+	manyOthers := plan()
+	manyOthers.DataCentres = manyOthers.DataCentres[:1]
+	manyOthers.Services[0].Targets, manyOthers.Services[1].Targets = 1, 5
+	cluster, ctx := startPlan(t, manyOthers)
+	restarted := cluster.VMs[1]
+	cluster.Store.SetFault(sdstandstore.FaultHang)
+	for i := range 4 {
+		is.NoErr(restarted.KillNode())
+		is.NoErr(restarted.StartNode())
+		for !restarted.Ready(ctx) {
+			is.NoErr(ctx.Err())
+			time.Sleep(time.Millisecond)
+		}
+		answer := cluster.Do(ctx, restarted, sdcluster.Request{ID: fmt.Sprint("f", i), Path: "/sign/f"})
+		is.NoErr(answer.Err)
+		is.Equal(answer.Status, http.StatusOK)
+	}
+}
--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -261,6 +261,14 @@
 	}
 }
 
+// joinThrough exchanges views with a node that has found this one, and fetches its
+// configuration afterwards: a node that has the configuration is ready for callers and needs
+// to know the targets by then.
+func (n *Node) joinThrough(ctx context.Context, address string) {
+	n.exchangeViews(ctx, address)
+	n.fetchConfig(ctx, address)
+}
+
 // Paths of the control calls between nodes.
 const (
 	membersPath = "/members"
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -131,7 +131,11 @@
 	switch {
 	case report.version > c.config.Version && report.version > c.fetchingVersion:
 		c.fetchingVersion = report.version
-		go n.fetchConfig(ctx, from)
+		if c.config.Version == 0 {
+			go n.joinThrough(ctx, from)
+		} else {
+			go n.fetchConfig(ctx, from)
+		}
 	case report.version < c.config.Version:
 		n.sendVersion(c, from)
 	case report.version == c.config.Version:
