An acknowledged departure outlives the process that acknowledged it

Cause: what decides about a target was known to one process and ended with it. The tracker of the new process is empty, so that any first announcement is its newest. The other nodes held the departure in the member entry, but the new process replaces that entry, and notifyOfLeaving tells only what a target has stated in its answers. Announcements of leaving that the tracker took for old or foreign were answered with 200 and dropped.

sddeparture keeps departures at two places before they are acknowledged, each for the fault of the other: the store, for a kill of all nodes, and other nodes, for a store that is gone. If neither confirms, the answer is 503. A new process asks both before its target gets calls. All nodes learn of departures by gossip, where a field tells them from the stop of a node, and tell a new process that advertises what has left. Every announcement of leaving binds the start that it names, whatever the tracker thinks of it otherwise.

Why it works: the gate at the target's node is the only way to the target, and it opens only after the places have been asked in which the departure was before the acknowledgement.

Costs: one read of the store for each start but the first of the platform, one write for each target that leaves.

--- a/internal/sdcluster/cluster.go
+++ b/internal/sdcluster/cluster.go
@@ -95,6 +95,7 @@
 	App          *sdstandapp.App
 
 	cluster        *Cluster
+	target         sdstandapp.Config
 	stopHeartbeats context.CancelFunc
 	node           *sdsidecar.Node
 	stopNode       context.CancelFunc
@@ -192,18 +193,30 @@
 	if err := os.WriteFile(vm.SettingsPath, settings, 0o600); err != nil {
 		return fmt.Errorf("settings of %s: %w", vm.Name, err)
 	}
-	vm.App, err = sdstandapp.Start(sdstandapp.Config{
+	vm.target = sdstandapp.Config{
 		Edge: platform.Headers(), Address: addressOf(portTarget), OnwardAddress: addressOf(portCallers), AnnounceAddress: addressOf(portAnnounce),
-		Identity: "i-" + vm.Name, Service: service.Name, DataCentre: dataCentre, Started: time.Now().UnixMilli(),
+		Identity: "i-" + vm.Name, Service: service.Name, DataCentre: dataCentre,
 		Slots: service.Slots, ServiceTime: service.ServiceTime, OnwardCalls: c.Plan.Calls, HeartbeatInterval: heartbeatInterval,
-	}, c.Ledger)
-	if err != nil {
+	}
+	if err := vm.StartTarget(); err != nil {
 		return err
 	}
 	c.VMs = append(c.VMs, vm)
+	return nil
+}
+
+// StartTarget starts the VM's target, which sends heartbeats from then on. Each start has
+// the same identity and a start time of its own.
+func (vm *VM) StartTarget() error {
+	vm.target.Started = time.Now().UnixMilli()
+	app, err := sdstandapp.Start(vm.target, vm.cluster.Ledger)
+	if err != nil {
+		return err
+	}
+	vm.App = app
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.stopHeartbeats = cancel
-	go vm.App.SendHeartbeats(ctx)
+	go app.SendHeartbeats(ctx)
 	return nil
 }
 
--- a/internal/sdinstance/tracker.go
+++ b/internal/sdinstance/tracker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sddeparture"
 )
 
 // Result is the outcome of an announcement or of a leave call.
@@ -46,6 +47,11 @@
 	state   State
 	// announced is set by the first accepted announcement.
 	announced bool
+	// departures holds the starts that are leaving.
+	departures sddeparture.Set
+	// restoring is true until the departures that earlier processes have learnt of are
+	// among them.
+	restoring bool
 }
 
 // New returns a tracker for the target of a service at an address, in state
@@ -56,35 +62,87 @@
 
 // State returns the current state.
 func (t *Tracker) State() State {
-	return t.state
+	state := t.state
+	if t.restoring && state.Target == savorydeal.TargetReady {
+		state.Target = savorydeal.TargetAbsent
+	}
+	return state
+}
+
+// Departures returns the starts that are leaving.
+func (t *Tracker) Departures() []savorydeal.Departure {
+	return t.departures.All()
+}
+
+// DeparturesVersion grows with each departure.
+func (t *Tracker) DeparturesVersion() int {
+	return t.departures.Version()
+}
+
+// Restore adds departures that an earlier process on this VM has learnt of. If no target is
+// known yet, the last one that left is held as the present one.
+func (t *Tracker) Restore(now time.Time, departures []savorydeal.Departure) {
+	for _, departure := range departures {
+		if sddeparture.Expired(now, departure) {
+			continue
+		}
+		t.departures.Add(departure)
+		if t.state.Heartbeat.Identity == "" || !t.announced && t.state.Target == savorydeal.TargetLeaving {
+			t.state.Heartbeat = t.heartbeatOf(departure.Start)
+		}
+	}
+	t.applyDepartures(now)
+}
+
+// AwaitRestore holds the target back until Restored is called.
+func (t *Tracker) AwaitRestore() {
+	t.restoring = true
+}
+
+// Restored marks the departures as restored: the target may be used if it is not among them.
+func (t *Tracker) Restored(now time.Time) {
+	t.restoring = false
+	if t.state.Target == savorydeal.TargetReady {
+		t.state.ReadySince = now
+	}
+}
+
+// Expire forgets departures after sddeparture.TTL.
+func (t *Tracker) Expire(now time.Time) {
+	t.departures.Expire(now)
 }
 
 // Announce handles an announcement of a target as ready or leaving.
 func (t *Tracker) Announce(now time.Time, heartbeat savorydeal.Heartbeat) Result {
+	start, previous := heartbeat.Start(), t.state.Heartbeat
+	if heartbeat.Leaving {
+		t.depart(now, start)
+	}
 	if heartbeat.Service != t.service || heartbeat.Address != t.address {
 		return ResultForeign
 	}
-	previous := t.state.Heartbeat
 	if t.announced && !newer(heartbeat, previous) {
+		if heartbeat.Leaving && t.departures.Binds(previous.Start()) {
+			return ResultAccepted
+		}
 		return ResultStale
 	}
-	sameStart := heartbeat.Start() == previous.Start()
+	sameStart := start == previous.Start()
 	t.announced = true
 	t.state.Heartbeat = heartbeat
-	switch {
-	case sameStart && !t.state.LeftAt.IsZero():
-		// A target that has announced that it leaves becomes ready again only
-		// after a restart.
-	case heartbeat.Leaving:
-		t.state.Target = savorydeal.TargetLeaving
-		t.state.LeftAt = now
-	default:
-		if !sameStart || t.state.Target != savorydeal.TargetReady {
-			t.state.ReadySince = now
+	if t.departures.Binds(start) {
+		// A target that is leaving becomes ready again only after a restart.
+		if !sameStart || t.state.LeftAt.IsZero() {
+			t.state.LeftAt = now
 		}
-		t.state.LeftAt = time.Time{}
-		t.state.Target = savorydeal.TargetReady
+		t.state.Target = savorydeal.TargetLeaving
+		return ResultAccepted
 	}
+	if !sameStart || t.state.Target != savorydeal.TargetReady {
+		t.state.ReadySince = now
+	}
+	t.state.LeftAt = time.Time{}
+	t.state.Target = savorydeal.TargetReady
 	return ResultAccepted
 }
 
@@ -104,46 +162,71 @@
 // Leave handles the call by which a target reports that it is leaving. started
 // is its start time in Unix milliseconds, 0 if the call does not state it. A
 // call for another start time is stale. The call may come before the target's first
-// announcement to this process, and before its health check.
+// announcement to this process, and before its health check. Whatever the result, the start
+// gets no calls from then on.
 func (t *Tracker) Leave(now time.Time, identity string, started int64) Result {
 	known := &t.state.Heartbeat
+	start := savorydeal.TargetStart{Identity: identity, Started: started}
+	if known.Identity == "" {
+		*known = t.heartbeatOf(start)
+	}
+	if identity == known.Identity {
+		switch {
+		case known.Started == 0:
+			known.Started = started
+		case started == 0:
+			start.Started = known.Started
+		}
+	}
+	t.depart(now, start)
 	switch {
-	case known.Identity == "":
-		t.state = State{Target: savorydeal.TargetAbsent, Heartbeat: savorydeal.Heartbeat{Identity: identity, Service: t.service, Address: t.address}}
 	case identity != known.Identity:
 		return ResultForeign
-	case started != 0 && known.Started != 0 && started != known.Started:
+	case !t.departures.Binds(known.Start()):
 		return ResultStale
 	}
-	if known.Started == 0 {
-		known.Started = started
-	}
-	t.state.Target = savorydeal.TargetLeaving
-	if t.state.LeftAt.IsZero() {
-		t.state.LeftAt = now
-	}
 	return ResultAccepted
 }
 
 // StatedLeaving handles an answer in which a start of the target has stated that it is
 // leaving. It reports whether the state changed.
 func (t *Tracker) StatedLeaving(now time.Time, start savorydeal.TargetStart) bool {
-	if t.state.Target != savorydeal.TargetReady && t.state.Target != savorydeal.TargetSilent || !t.state.Heartbeat.Start().Matches(start) {
+	if t.state.Target == savorydeal.TargetLeaving || !t.state.Heartbeat.Start().Matches(start) {
 		return false
 	}
+	t.depart(now, t.state.Heartbeat.Start())
+	return t.state.Target == savorydeal.TargetLeaving
+}
+
+// depart records that a start is leaving, whether or not it is the present one.
+func (t *Tracker) depart(now time.Time, start savorydeal.TargetStart) {
+	t.departures.Add(savorydeal.Departure{Start: start, LeftAt: now})
+	t.applyDepartures(now)
+}
+
+// applyDepartures marks the target as leaving if its present start is.
+func (t *Tracker) applyDepartures(now time.Time) {
+	if t.state.Target == savorydeal.TargetLeaving || !t.departures.Binds(t.state.Heartbeat.Start()) {
+		return
+	}
 	t.state.Target = savorydeal.TargetLeaving
 	if t.state.LeftAt.IsZero() {
 		t.state.LeftAt = now
 	}
-	return true
+}
+
+// heartbeatOf stands for the announcement of a start that this process has not received.
+func (t *Tracker) heartbeatOf(start savorydeal.TargetStart) savorydeal.Heartbeat {
+	return savorydeal.Heartbeat{Identity: start.Identity, Started: start.Started, Service: t.service, Address: t.address}
 }
 
 // Discovered marks the target as ready if its health check has reported an
 // identity before the target announced itself to this process. slots is an
 // estimate that is used until the first announcement. It reports whether the
-// target was marked.
+// target was marked. A target under the identity of one that is leaving is not: whether it
+// has started again is known only from its announcement.
 func (t *Tracker) Discovered(now time.Time, identity string, slots int) bool {
-	if t.announced || identity == "" || identity == t.state.Heartbeat.Identity && !t.state.LeftAt.IsZero() {
+	if t.announced || identity == "" || t.departures.Binds(savorydeal.TargetStart{Identity: identity}) {
 		return false
 	}
 	t.state = State{Target: savorydeal.TargetReady, ReadySince: now, Heartbeat: savorydeal.Heartbeat{
@@ -152,6 +235,18 @@
 	return true
 }
 
+// Missing reports whether the health check can show more of the target than is known: none
+// has announced itself to this process, or its address accepts no connections.
+func (t *Tracker) Missing() bool {
+	switch t.state.Target {
+	case savorydeal.TargetSilent:
+		return true
+	case savorydeal.TargetAbsent:
+		return t.state.Heartbeat.Identity == ""
+	}
+	return t.state.Target == savorydeal.TargetLeaving && !t.announced
+}
+
 // ConnectionLost marks a ready target as silent because its address accepts no
 // connections. It reports whether the state changed.
 func (t *Tracker) ConnectionLost() bool {
--- a/internal/sdinstance/tracker_test.go
+++ b/internal/sdinstance/tracker_test.go
@@ -128,8 +128,84 @@
 				tracker.Announce(start, heartbeat("i", c.started, 4, false)) // sent before the leave call
 				is.Equal(tracker.State().Target, savorydeal.TargetLeaving)
 			}
-			is.Equal(tracker.Announce(start, heartbeat("i", 9, 1, false)), sdinstance.ResultAccepted)
+			next := heartbeat("i", start.Add(time.Second).UnixMilli(), 1, false)
+			is.Equal(tracker.Announce(start, next), sdinstance.ResultAccepted)
 			is.Equal(tracker.State().Target, savorydeal.TargetReady)
 		})
 	}
 }
+
+// Guards against a target that a new process uses although an earlier one has acknowledged
+// that it leaves: the departures are restored before, between or after what the target says.
+func TestRestoredDeparture(t *testing.T) {
+	left := savorydeal.Departure{Start: savorydeal.TargetStart{Identity: "i", Started: 5}, LeftAt: start}
+	restore := func(tracker *sdinstance.Tracker) {
+		tracker.Restore(start, []savorydeal.Departure{left})
+		tracker.Restored(start)
+	}
+	announce := func(h savorydeal.Heartbeat) func(*sdinstance.Tracker) {
+		return func(tracker *sdinstance.Tracker) { tracker.Announce(start, h) }
+	}
+	discover := func(identity string) func(*sdinstance.Tracker) {
+		return func(tracker *sdinstance.Tracker) { tracker.Discovered(start, identity, 3) }
+	}
+	for _, c := range []struct {
+		name   string
+		events []func(*sdinstance.Tracker)
+		state  savorydeal.TargetState
+	}{
+		{"nothing known", []func(*sdinstance.Tracker){restore}, savorydeal.TargetLeaving},
+		{"late heartbeat after", []func(*sdinstance.Tracker){restore, announce(heartbeat("i", 5, 9, false))}, savorydeal.TargetLeaving},
+		{"late heartbeat before", []func(*sdinstance.Tracker){announce(heartbeat("i", 5, 9, false)), restore}, savorydeal.TargetLeaving},
+		{"health check before", []func(*sdinstance.Tracker){discover("i"), restore}, savorydeal.TargetLeaving},
+		{"health check after", []func(*sdinstance.Tracker){restore, discover("i")}, savorydeal.TargetLeaving},
+		{"not restored yet", []func(*sdinstance.Tracker){announce(heartbeat("i", 5, 9, false))}, savorydeal.TargetAbsent},
+		{"next start before", []func(*sdinstance.Tracker){announce(heartbeat("i", 6, 1, false)), restore}, savorydeal.TargetReady},
+		{"next start after", []func(*sdinstance.Tracker){restore, announce(heartbeat("i", 6, 1, false))}, savorydeal.TargetReady},
+		{"next start after its health check", []func(*sdinstance.Tracker){restore, discover("i"), announce(heartbeat("i", 6, 1, false))}, savorydeal.TargetReady},
+		{"another target after", []func(*sdinstance.Tracker){restore, discover("k")}, savorydeal.TargetReady},
+		{"another target before", []func(*sdinstance.Tracker){discover("k"), restore}, savorydeal.TargetReady},
+		{"late heartbeat after the next start", []func(*sdinstance.Tracker){restore, announce(heartbeat("i", 6, 1, false)), announce(heartbeat("i", 5, 9, false))}, savorydeal.TargetReady},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := sdinstance.New("s", "a")
+			tracker.AwaitRestore()
+			for _, event := range c.events {
+				event(tracker)
+			}
+			is.Equal(tracker.State().Target, c.state)
+		})
+	}
+}
+
+// Guards against an announcement of leaving that is answered as acknowledged but dropped,
+// because a newer one has arrived before it or because it seems to be from another target.
+func TestEveryAnnouncementOfLeavingBinds(t *testing.T) {
+	foreign := heartbeat("i", 5, 9, true)
+	foreign.Service = "other"
+	leave := func(identity string, started int64) func(*sdinstance.Tracker) {
+		return func(tracker *sdinstance.Tracker) { tracker.Leave(start, identity, started) }
+	}
+	announce := func(h savorydeal.Heartbeat) func(*sdinstance.Tracker) {
+		return func(tracker *sdinstance.Tracker) { tracker.Announce(start, h) }
+	}
+	for name, say := range map[string][]func(*sdinstance.Tracker){
+		"older than a ready one":                {announce(heartbeat("i", 5, 3, false)), announce(heartbeat("i", 5, 2, true))},
+		"of a start not heard of yet":           {announce(heartbeat("i", 4, 3, false)), leave("i", 5)},
+		"while a late one of another is known":  {announce(heartbeat("h", 4, 3, false)), leave("i", 5)},
+		"with another service":                  {announce(foreign)},
+		"said twice":                            {leave("i", 5), leave("i", 5)},
+		"by its health check's identity, twice": {leave("i", 0), leave("i", 5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := sdinstance.New("s", "a")
+			for _, event := range say {
+				event(tracker)
+			}
+			tracker.Announce(start, heartbeat("i", 5, 20, false))
+			is.Equal(tracker.State().Target, savorydeal.TargetLeaving)
+		})
+	}
+}
--- a/internal/sdroster/roster.go
+++ b/internal/sdroster/roster.go
@@ -187,6 +187,7 @@
 	Slots      int
 	ReadySince time.Time
 	Start      savorydeal.TargetStart
+	Departed   bool
 }
 
 // SetTarget updates the target's part of this node's own entry and returns the
@@ -197,6 +198,7 @@
 	r.self.Slots = target.Slots
 	r.self.ReadySince = target.ReadySince
 	r.self.TargetStart = target.Start
+	r.self.TargetDeparted = target.Departed
 	return r.publishSelf(now)
 }
 
--- a/internal/sdsidecar/announce.go
+++ b/internal/sdsidecar/announce.go
@@ -19,6 +19,9 @@
 	targetPollInterval  = 100 * time.Millisecond
 	startupPollInterval = 15 * time.Millisecond
 	startupPollDuration = time.Second
+	// departedPollInterval is the time between two health checks while the last known
+	// target is leaving and has not announced itself to this process.
+	departedPollInterval = 500 * time.Millisecond
 	// healthCheckTimeout is the maximum duration of one health check.
 	healthCheckTimeout = 500 * time.Millisecond
 	// minAssumedSlots and connectionsPerSlot estimate the slots of a target that
@@ -54,7 +57,7 @@
 		return &sdhttp.Response{Status: http.StatusNotFound}
 	}
 	var event controlEvent
-	result := sdinstance.ResultForeign
+	result, leaving := sdinstance.ResultForeign, false
 	switch request.Method {
 	case http.MethodPut:
 		heartbeat, err := platform.DecodeHeartbeat(identity, request.Body)
@@ -62,6 +65,7 @@
 			n.log.Warn("announcement rejected", "identity", identity, "error", err)
 			return &sdhttp.Response{Status: http.StatusBadRequest}
 		}
+		leaving = heartbeat.Leaving
 		event = func(c *controlState) { result = c.tracker.Announce(n.clock.Now(), heartbeat) }
 	case http.MethodDelete:
 		started, err := platform.DecodeLeave(request.Body)
@@ -69,6 +73,7 @@
 			n.log.Warn("leave announcement rejected", "identity", identity, "error", err)
 			return &sdhttp.Response{Status: http.StatusBadRequest}
 		}
+		leaving = true
 		event = func(c *controlState) { result = c.tracker.Leave(n.clock.Now(), identity, started) }
 	default:
 		return &sdhttp.Response{Status: http.StatusMethodNotAllowed}
@@ -83,6 +88,13 @@
 	if result != sdinstance.ResultAccepted {
 		n.log.Info("announcement ignored", "identity", identity, "verdict", result, "method", request.Method)
 	}
+	if leaving && !n.awaitKept(ctx) {
+		if ctx.Err() != nil {
+			return &sdhttp.Response{Status: http.StatusServiceUnavailable}
+		}
+		n.log.Warn("leaving not acknowledged", "identity", identity, "method", request.Method, "waited", ackTimeout)
+		return &sdhttp.Response{Status: http.StatusServiceUnavailable}
+	}
 	header := http.Header{"Content-Type": {"application/json"}}
 	return &sdhttp.Response{Status: http.StatusOK, Header: header, Body: []byte(platform.HeartbeatResponse)}
 }
@@ -102,15 +114,18 @@
 			continue
 		}
 		var state sdinstance.State
-		if n.callControl(ctx, func(c *controlState) { state = c.tracker.State() }) != nil {
+		missing := false
+		if n.callControl(ctx, func(c *controlState) { state, missing = c.tracker.State(), c.tracker.Missing() }) != nil {
 			continue
 		}
-		missing := state.Target == savorydeal.TargetAbsent && state.Heartbeat.Identity == "" || state.Target == savorydeal.TargetSilent
 		service, ok := table.Service(n.settings.Service)
 		if !missing || !ok {
 			continue
 		}
 		n.checkTargetHealth(ctx, service, state)
+		if state.Target == savorydeal.TargetLeaving {
+			n.sleep(ctx, departedPollInterval)
+		}
 	}
 	return nil
 }
--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -199,6 +199,7 @@
 	if err != nil {
 		return fmt.Errorf("read meeting points: %w", err)
 	}
+	_ = n.callControl(ctx, func(c *controlState) { c.restorer.Joined() })
 	var members []savorydeal.Member
 	var self savorydeal.Member
 	_ = n.callControl(ctx, func(c *controlState) { members, self = c.roster.Members(), c.roster.Self() })
@@ -396,6 +397,11 @@
 		if err := n.target.adoptFeedback(string(request.Body), request.ReceivedAt); err != nil {
 			return &sdhttp.Response{Status: http.StatusBadRequest}
 		}
+	case departuresPath:
+		var err error
+		if body, err = n.handleDepartures(ctx, request.Body); err != nil {
+			return &sdhttp.Response{Status: http.StatusBadRequest}
+		}
 	case alivePath:
 	default:
 		return &sdhttp.Response{Status: http.StatusNotFound}
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sddeparture"
 	"github.com/savorydeal/savorydeal/internal/sdgossip"
 	"github.com/savorydeal/savorydeal/internal/sdinstance"
 	"github.com/savorydeal/savorydeal/internal/sdjoin"
@@ -37,6 +38,14 @@
 	fetchingVersion uint64
 	// members is the member list as last published to the balancer.
 	members []savorydeal.Member
+	// keeper decides who is told of the departures of this VM, restorer when this process
+	// knows those that earlier ones have acknowledged. departures are those of other VMs.
+	keeper          *sddeparture.Keeper
+	restorer        *sddeparture.Restorer
+	departures      *sddeparture.Table
+	departureRecord departureRecord
+	// departuresKept is closed, and replaced, when the keeper has learnt something.
+	departuresKept chan struct{}
 	// confirmedAt is the latest known time at which some node read the store and
 	// found nothing newer than the configuration in force here.
 	confirmedAt time.Time
@@ -49,6 +58,13 @@
 	return controlState{
 		roster:  sdroster.New(n.member(), nil, n.newRandom()),
 		tracker: sdinstance.New(n.settings.Service, n.settings.TargetAddress),
+
+		keeper:         sddeparture.NewKeeper(n.newRandom()),
+		restorer:       sddeparture.NewRestorer(n.started, n.settings.FirstStart),
+		departures:     sddeparture.NewTable(),
+		departuresKept: make(chan struct{}),
+		// A platform that starts for the first time holds no departures.
+		departureRecord: departureRecord{read: n.settings.FirstStart},
 	}
 }
 
@@ -200,7 +216,9 @@
 	n.budget.SetNodes(live)
 	n.mu.Unlock()
 	n.logMemberChanges(changes)
+	n.learnDepartures(c, members)
 	n.notifyOfLeaving(changes)
+	n.notifyOfDepartures(c, changes)
 	n.metrics.members.Set(float64(live))
 	n.metrics.targets.Set(float64(targets))
 	n.watchRank.Store(int64(sdjoin.Rank(members, n.member())))
@@ -262,19 +280,20 @@
 	}
 	state := c.tracker.State()
 	n.target.setState(state)
+	n.requireDepartures(c)
 	advertised := state.Target
 	if c.stopping && advertised == savorydeal.TargetReady {
 		advertised = savorydeal.TargetLeaving
 	}
 	self := c.roster.Self()
-	start := state.Heartbeat.Start()
-	if self.TargetState == advertised && self.Slots == state.Heartbeat.Slots && self.ReadySince.Equal(state.ReadySince) && self.TargetStart == start {
+	start, departed := state.Heartbeat.Start(), state.Target == savorydeal.TargetLeaving
+	if self.TargetState == advertised && self.Slots == state.Heartbeat.Slots && self.ReadySince.Equal(state.ReadySince) && self.TargetStart == start && self.TargetDeparted == departed {
 		return
 	}
 	n.log.Info("target changed", "state", advertised, "identity", state.Heartbeat.Identity, "slots", state.Heartbeat.Slots,
 		"started", state.Heartbeat.Started, "sequence", state.Heartbeat.Sequence)
 	n.send(c, c.roster.SetTarget(now, sdroster.Target{
-		Service: n.settings.Service, State: advertised, Slots: state.Heartbeat.Slots, ReadySince: state.ReadySince, Start: start,
+		Service: n.settings.Service, State: advertised, Slots: state.Heartbeat.Slots, ReadySince: state.ReadySince, Start: start, Departed: departed,
 	}))
 	for _, address := range c.roster.RandomAddresses(targetFanOut) {
 		n.sendVersion(c, address)
--- a/internal/sdsidecar/dump.go
+++ b/internal/sdsidecar/dump.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
@@ -37,6 +38,14 @@
 			"state": target.Target, "identity": target.Heartbeat.Identity, "started": target.Heartbeat.Started, "sequence": target.Heartbeat.Sequence,
 			"slots": target.Heartbeat.Slots,
 		}
+		state["departures"] = departuresState(now, c.tracker.Departures())
+		departuresOfOthers := make(map[string]any)
+		for _, member := range c.members {
+			if departures := c.departures.Of(member.Node); len(departures) > 0 {
+				departuresOfOthers[string(member.Node)] = departuresState(now, departures)
+			}
+		}
+		state["departures_of_others"] = departuresOfOthers
 		state["config"] = map[string]any{
 			"version": c.config.Version, "routes": len(c.config.Routes), "confirmed_ago_s": now.Sub(c.confirmedAt).Seconds(),
 		}
@@ -94,6 +103,17 @@
 	return &sdhttp.Response{Status: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}}, Body: append(text, '\n')}
 }
 
+// departuresState returns departures; started is 0 if the target has not stated it.
+func departuresState(now time.Time, departures []savorydeal.Departure) []map[string]any {
+	state := make([]map[string]any, 0, len(departures))
+	for _, departure := range departures {
+		state = append(state, map[string]any{
+			"identity": departure.Start.Identity, "started": departure.Start.Started, "left_ago_s": now.Sub(departure.LeftAt).Seconds(),
+		})
+	}
+	return state
+}
+
 // feedbackState returns what holds of a target; rate_limit is absent if it states none.
 func feedbackState(start savorydeal.TargetStart, feedback savorydeal.Feedback) map[string]any {
 	state := map[string]any{"identity": start.Identity, "started": start.Started, "leaving": feedback.Leaving}
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -47,8 +47,10 @@
 
 	events  chan controlEvent
 	control controlState
-	socket  *sdgossip.Socket
-	routes  atomic.Pointer[sdroute.Table]
+	// departuresPending wakes runDepartureKeep.
+	departuresPending chan struct{}
+	socket            *sdgossip.Socket
+	routes            atomic.Pointer[sdroute.Table]
 	// confirmedAt is a copy of controlState.confirmedAt for the metrics, in Unix
 	// nanoseconds.
 	confirmedAt atomic.Int64
@@ -106,6 +108,8 @@
 		metrics:    newMetrics(),
 		started:    now,
 		aborted:    make(chan struct{}),
+
+		departuresPending: make(chan struct{}, 1),
 	}
 	n.reloadable.Store(newReloadableSettings(settings))
 	n.log = newRequestLog(log, clock, n.metrics)
@@ -255,6 +259,9 @@
 	addServer := func(listener net.Listener, serve func(net.Listener) error) {
 		group.Add(func() error { return serve(listener) }, func(error) { _ = listener.Close() })
 	}
+	if !n.settings.FirstStart {
+		n.control.tracker.AwaitRestore()
+	}
 	addTask(n.runControl)
 	addTask(n.runGossip)
 	addTask(n.runJoin)
@@ -263,6 +270,9 @@
 	addTask(n.runHousekeeping)
 	addTask(n.runCrashExpiry)
 	addTask(n.runCrashFetch)
+	addTask(n.runDepartureRestore)
+	addTask(n.runDepartureKeep)
+	addTask(n.runDepartureExpiry)
 	addTask(n.runTraffic)
 	addTask(n.runShedder)
 	addTask(n.runProbes)
--- a/internal/sdwire/member.go
+++ b/internal/sdwire/member.go
@@ -24,6 +24,7 @@
 
 		TargetIdentity:  member.TargetStart.Identity,
 		TargetStartedMs: member.TargetStart.Started,
+		TargetDeparted:  member.TargetDeparted,
 	}
 	if !member.ReadySince.IsZero() {
 		encoded.ReadyForNs = int64(now.Sub(member.ReadySince))
@@ -46,6 +47,8 @@
 		TargetState: savorydeal.TargetState(member.GetTargetState()),
 		Slots:       int(member.GetSlots()),
 		TargetStart: savorydeal.TargetStart{Identity: member.GetTargetIdentity(), Started: member.GetTargetStartedMs()},
+
+		TargetDeparted: member.GetTargetDeparted(),
 	}
 	if decoded.TargetState == savorydeal.TargetReady {
 		decoded.ReadySince = now.Add(-time.Duration(member.GetReadyForNs()))
--- a/member.go
+++ b/member.go
@@ -53,6 +53,9 @@
 	// TargetStart identifies the start of the target, on platforms that identify
 	// targets.
 	TargetStart TargetStart
+	// TargetDeparted is true if that start is leaving by its own word; a node that stops
+	// advertises its target as leaving too.
+	TargetDeparted bool
 	// Slots is the maximum number of calls that the target runs at once.
 	Slots int
 }
