sdsidecar: what might outlast a planned stop is refused before it is passed on

Cause: the node closes its listener after 3 s and each connection once it is idle, but a connection that always has a request in progress stays open, and whatever it carries was taken until the end. Calls of nodes that had not heard of the stop were taken as well, and calls that waited for the target at the end were cut instead of being refused.

Evidence: TestLateRequestsOfStopAreNotCut sends a request every 80 ms on one connection to a stopping node; before, each sent in the last 1.2 s, the run time of the target, ran and got no answer.

A request that comes later than 3 s after the signal is taken only if its deadline is before the end, and else answered 503 as not run; a call of another node in the same way from the time at which the target is advertised as leaving, and the first node tries the next target. Deadlines bound all work, so that nothing taken late is cut. Calls of runs in progress end with their run. What still waits 100 ms before the end is refused.

--- a/internal/sdcluster/cluster.go
+++ b/internal/sdcluster/cluster.go
@@ -352,6 +352,11 @@
 	return true
 }
 
+// CallerAddress returns the address of the VM's node for callers.
+func (vm *VM) CallerAddress() string {
+	return fmt.Sprintf("%s:%d", vm.Address, portCallers)
+}
+
 // Ready reports whether the readiness endpoint of the node answers 200.
 func (vm *VM) Ready(ctx context.Context) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/readiness", vm.Address, portReady), nil)
--- a/internal/sdsidecar/callers.go
+++ b/internal/sdsidecar/callers.go
@@ -72,6 +72,9 @@
 			r.deadline = parent.deadline
 		}
 	}
+	if n.outlastsStop(r) {
+		return n.refuse(r, reasonStopping)
+	}
 	response := n.refuseIfOverloaded(r)
 	if response == nil {
 		response = n.forward(ctx, r)
--- a/internal/sdsidecar/events_test.go
+++ b/internal/sdsidecar/events_test.go
@@ -128,7 +128,7 @@
 		}
 	}
 	reasons := []string{
-		reasonNoTarget, reasonLeaving, reasonWrongNode, reasonQueue, reasonOverload, reasonDeadline, reasonCanceled,
+		reasonNoTarget, reasonLeaving, reasonStopping, reasonWrongNode, reasonQueue, reasonOverload, reasonDeadline, reasonCanceled,
 		reasonRefused, reasonUnreachable, reasonBroken, reasonUnsigned, reasonUnresponsive, reasonPoison,
 	}
 	is.Equal(named, reasons)
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -84,9 +84,11 @@
 	metrics        *metrics
 	traffic        traffic
 	stopping       atomic.Bool
-	aborted        chan struct{}
-	abortOnce      sync.Once
-	started        time.Time
+	// stop holds the times of a graceful stop, nil before it.
+	stop      atomic.Pointer[stopSchedule]
+	aborted   chan struct{}
+	abortOnce sync.Once
+	started   time.Time
 }
 
 // New returns a node; Run starts it.
--- a/internal/sdsidecar/stop.go
+++ b/internal/sdsidecar/stop.go
@@ -26,12 +26,45 @@
 	// still on its way.
 	minIdleBeforeClose = 300 * time.Millisecond
 	// killMargin is the time before the platform's kill at which the process ends.
-	killMargin       = 300 * time.Millisecond
+	killMargin = 300 * time.Millisecond
+	// refusalWriteTime is the time that is left at the end for the answers to calls which
+	// still wait for the target and are refused.
+	refusalWriteTime = 100 * time.Millisecond
 	stopPollInterval = 20 * time.Millisecond
 	// housekeepingInterval is the time between two closings of unused connections.
 	housekeepingInterval = time.Second
 )
 
+// stopSchedule holds the times of a graceful stop.
+type stopSchedule struct {
+	// callersUntil and peersUntil are the times until which each request of callers and
+	// each call of other nodes is taken; later ones are if they end in time.
+	callersUntil, peersUntil time.Time
+	// end is when the requests in progress are cut.
+	end time.Time
+}
+
+func newStopSchedule(signalledAt time.Time, grace time.Duration) *stopSchedule {
+	leaveAfter := min(peerServeTime, time.Duration(peerServeShare*float64(grace)))
+	return &stopSchedule{
+		callersUntil: signalledAt.Add(callersCloseTime), peersUntil: signalledAt.Add(leaveAfter), end: signalledAt.Add(grace - killMargin),
+	}
+}
+
+// outlastsStop reports whether a request of a caller that is taken now might still be in
+// progress when the node ends. Calls of runs in progress are not checked: they end with
+// their run.
+func (n *Node) outlastsStop(r *request) bool {
+	stop := n.stop.Load()
+	return stop != nil && r.parent == nil && time.Now().After(stop.callersUntil) && r.deadline.After(stop.end)
+}
+
+// callOutlastsStop reports the same of a call of another node.
+func (n *Node) callOutlastsStop(deadline time.Time) bool {
+	stop := n.stop.Load()
+	return stop != nil && time.Now().After(stop.peersUntil) && deadline.After(stop.end)
+}
+
 // waitAndStop waits for the end of ctx (the stop signal) and then stops the node
 // gracefully. First the readiness check fails while requests are still served, then
 // the target is advertised as leaving, then the caller listener closes. Calls in
@@ -48,14 +81,17 @@
 	n.log.Info("graceful stop started", "active", n.callerServer.ActiveRequests(), "serving_others", n.peerServer.ActiveRequests())
 	n.stopping.Store(true)
 	n.callerServer.DisableKeepAlives()
-	grace := n.reloadable.Load().bounds.Grace
-	end := signalledAt.Add(grace - killMargin)
-	leaveAfter := min(peerServeTime, time.Duration(peerServeShare*float64(grace)))
-	callersClosed, leaveAnnounced := false, false
-	for time.Now().Before(end) {
+	schedule := newStopSchedule(signalledAt, n.reloadable.Load().bounds.Grace)
+	n.stop.Store(schedule)
+	callersClosed, leaveAnnounced, drained := false, false, false
+	for time.Now().Before(schedule.end) {
 		time.Sleep(stopPollInterval)
 		elapsed := time.Since(signalledAt)
-		if !leaveAnnounced && elapsed >= leaveAfter {
+		if !drained && time.Until(schedule.end) <= refusalWriteTime {
+			drained = true
+			n.target.refuseWaiting()
+		}
+		if !leaveAnnounced && time.Now().After(schedule.peersUntil) {
 			leaveAnnounced = true
 			_ = n.callControl(background, func(c *controlState) {
 				c.stopping = true
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// refuseWaiting refuses the calls that wait for the target.
+func (s *targetServer) refuseWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notifyWaiting(s.queue.Drain())
+}
+
 // startWaiting starts the waiting calls that the rate limit allows by now.
 func (s *targetServer) startWaiting() {
 	s.mu.Lock()
@@ -155,6 +162,9 @@
 	if s.node.isBlocked(call.Service, request) {
 		return s.notRun(reasonPoison)
 	}
+	if call.Depth == 0 && s.node.callOutlastsStop(deadline) {
+		return s.notRun(reasonStopping)
+	}
 	if reason := s.admit(ctx, call, request.ReceivedAt); reason != "" {
 		return s.notRun(reason)
 	}
