sdsidecar: an attempt lasts until its streamed answer ends

Cause: an answer too large to be buffered is streamed, and Pool.Do returns with its first part. endAttempt then cancelled the context of the attempt, and Pool.Do closes the connection when that context ends, so that the rest was cut off. An answer of this VM's own target has no such context and was whole; that is the only difference between the two in the test.

The attempt now ends when the remainder is closed, or when the caller's connection ends. Its connection to the other node counts as in use in the meantime, so that it is probed, and a node that goes silent ends the stream.

Before: TestLargeAnswersThroughOtherNodes failed with "unexpected EOF".

--- a/internal/sdcluster/cluster_test.go
+++ b/internal/sdcluster/cluster_test.go
@@ -377,3 +377,22 @@
 		networks[cluster.StoreAddress()] = true
 	}
 }
+
+// Guards against answers that are too large to be buffered and break off on their way
+// through another node.
+func TestLargeAnswersThroughOtherNodes(t *testing.T) {
+	const bytes = 3 << 20
+	is := is.New(t)
+	cluster, ctx := start(t)
+	for _, vm := range cluster.VMs {
+		vm.App.SetPadding(bytes)
+	}
+	for i, vm := range cluster.VMs { // some beside a target of the service
+		for range 4 {
+			answer := cluster.Do(ctx, vm, sdcluster.Request{ID: fmt.Sprint("g", i), Path: "/sign/g"})
+			is.NoErr(answer.Err)
+			is.Equal(answer.Status, http.StatusOK)
+			is.True(len(answer.Body) > bytes)
+		}
+	}
+}
--- a/internal/sdsidecar/attempts.go
+++ b/internal/sdsidecar/attempts.go
@@ -184,7 +184,11 @@
 	sentAt := n.clock.Now()
 	attempt := remote.beginAttempt(ctx, call.Repeatable, n.clock.Now())
 	response, err := remote.pool.Do(attempt, forwarded, r.deadline, false, isNodeReply)
-	remote.endAttempt(attempt, err == nil, n.clock.Now())
+	if err == nil && response.Remainder != nil {
+		response.Remainder = newAttemptRemainder(attempt, response.Remainder, func() { remote.endAttempt(attempt, true, n.clock.Now()) })
+	} else {
+		remote.endAttempt(attempt, err == nil, n.clock.Now())
+	}
 	if err != nil {
 		return nil, n.linkFailureReply(ctx, r, member, err)
 	}
--- a/internal/sdsidecar/peers.go
+++ b/internal/sdsidecar/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -80,6 +81,26 @@
 	}
 }
 
+// attemptRemainder is the streamed part of an answer. Its attempt lasts until it is closed.
+type attemptRemainder struct {
+	io.ReadCloser
+	end func()
+}
+
+// newAttemptRemainder returns a remainder that calls end once, when it is closed or ctx ends.
+func newAttemptRemainder(ctx context.Context, remainder io.ReadCloser, end func()) *attemptRemainder {
+	once := sync.OnceFunc(end)
+	context.AfterFunc(ctx, once)
+	return &attemptRemainder{ReadCloser: remainder, end: once}
+}
+
+// Close ends the attempt.
+func (r *attemptRemainder) Close() error {
+	err := r.ReadCloser.Close()
+	r.end()
+	return err
+}
+
 // check returns the action that is due now. ActionReplace means that the node has to be
 // marked as unresponsive.
 func (p *peer) check(now time.Time) sdprobe.Action {
--- a/internal/sdstandapp/app.go
+++ b/internal/sdstandapp/app.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -90,6 +91,8 @@
 	// silent is true while no heartbeats are sent.
 	silent   bool
 	failures func(id string) Failure
+	// padding is appended to all answers.
+	padding string
 	// statements are headers that the target adds to all of its answers.
 	statements http.Header
 }
@@ -149,6 +152,13 @@
 	a.mu.Unlock()
 }
 
+// SetPadding makes the target append a number of bytes to all of its answers.
+func (a *App) SetPadding(bytes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.padding = strings.Repeat("x", bytes)
+}
+
 // Close stops the target at once without announcing that it leaves, as a crash
 // does.
 func (a *App) Close() {
@@ -313,7 +323,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	body := "answer to " + id
+	a.mu.Lock()
+	body := "answer to " + id + a.padding
+	a.mu.Unlock()
 	switch failure {
 	case FailureCrash:
 		a.Close()
