sdhttp: an answer without end is not read further once it is dropped

Cause: closing the remainder of an answer first closed the body, and net/http reads a body to its end when it is closed. The connection was closed only afterwards.

The connection is now closed first, so that closing the body fails at once.

--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -277,11 +277,12 @@
 	onClose func()
 }
 
-// Close closes the connection.
+// Close closes the connection. The body is closed after it, since it would otherwise be read
+// to its end, which may never come.
 func (r *remainderBody) Close() error {
-	err := r.ReadCloser.Close()
 	r.once.Do(r.onClose)
-	return err
+	_ = r.ReadCloser.Close() // fails unless the body was read to its end
+	return nil
 }
 
 // roundTrip sends the request and reads its answer. It also reports whether the
--- a/internal/sdhttp/endless_test.go
+++ b/internal/sdhttp/endless_test.go
@@ -211,3 +211,23 @@
 	}
 	is.Equal(server.ActiveRequests(), int64(0))
 }
+
+// Guards against reading an answer without end to its deadline when nobody wants the rest of it.
+func TestClosingEndlessAnswerReturnsAtOnce(t *testing.T) {
+	is := is.New(t)
+	for name, first := range map[string]string{
+		"until close": "HTTP/1.1 200 OK\r\nId: a\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1000000000000\r\n\r\n",
+	} {
+		pool, _ := startEndless(t, first, "x")
+		request := &sdhttp.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{idHeader: {"a"}}}
+		response, err := pool.Do(context.Background(), request, time.Now().Add(testTimeout), false, hasID("a"))
+		is.NoErr(err)
+		began := time.Now()
+		_ = response.Remainder.Close()
+		if took := time.Since(began); took > testTimeout/5 {
+			t.Errorf("%s: closing took %v", name, took)
+		}
+		is.Equal(pool.OpenConns(), 0)
+	}
+}
