sdhttp: the bodies that a node holds are bounded together

Cause: each body was bounded (64 MiB of a request, 1 MiB of an answer), the sum of them was not. A request's body was held twice while it was written, and up to 32 requests of a connection ran although its caller read no answer.

Memory counts what servers and pools of a node hold beyond 64 KiB of each body, and bounds it to 0.3 of the VM's limit. A request that does not fit is refused as not run, by callers' nodes with 503 and by a target's node with a reply that sends it elsewhere. An answer that does not fit is streamed. A connection is not read further while more than 1 MiB of its answers waits to be written. Large bodies are written without a copy.

Why it works: every stage in which bytes wait is counted, and each gives them back on the way out, also when the connection ends (TestMemoryOfDisconnectedCallersIsReleased).

--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -64,6 +64,8 @@
 	// IdleTimeout is how long an idle connection is kept. A shorter timeout in
 	// the server's Keep-Alive header takes precedence.
 	IdleTimeout time.Duration
+	// Memory bounds the answers that are held. One for which there is no room is streamed.
+	Memory *Memory
 
 	mu   sync.Mutex
 	idle []*clientConn
@@ -82,6 +84,7 @@
 	conn   *meteredConn
 	raw    syscall.RawConn
 	reader *bufio.Reader
+	memory *Memory
 	// used is true if the connection has carried a request.
 	used bool
 	// idleDeadline is when the idle connection must no longer be used.
@@ -167,7 +170,7 @@
 	p.openConns++
 	p.mu.Unlock()
 	metered := &meteredConn{Conn: conn}
-	return &clientConn{conn: metered, raw: raw, reader: bufio.NewReaderSize(metered, readBufferBytes), idleTimeout: p.IdleTimeout}, nil
+	return &clientConn{conn: metered, raw: raw, reader: bufio.NewReaderSize(metered, readBufferBytes), idleTimeout: p.IdleTimeout, memory: p.Memory}, nil
 }
 
 // setTCPUserTimeout makes a connection fail if sent bytes stay unacknowledged
@@ -289,19 +292,23 @@
 // connection can be reused.
 func (c *clientConn) roundTrip(request *Request, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	b := buffers.Get().(*bytes.Buffer)
-	writeRequest(b, request)
+	writeRequestHead(b, request)
 	if request.Bytes != nil {
-		request.Bytes.RequestHeads.Add(int64(b.Len() - len(request.Body)))
+		request.Bytes.RequestHeads.Add(int64(b.Len()))
 		request.Bytes.RequestBodies.Add(int64(len(request.Body)))
 	}
 	written := make(chan error, 1)
-	large := b.Len() > largeRequestBytes
+	large := b.Len()+len(request.Body) > largeRequestBytes
 	if large {
 		go func() {
 			_, err := c.conn.Write(b.Bytes())
+			if err == nil {
+				_, err = c.conn.Write(request.Body)
+			}
 			written <- err
 		}()
 	} else {
+		b.Write(request.Body)
 		n, err := c.conn.Write(b.Bytes())
 		putBuffer(b)
 		if err != nil {
@@ -362,28 +369,24 @@
 	return nil, false, &RequestError{Sent: true, Err: errors.New("the connection carried answers to other requests only")}
 }
 
-// readAnswerBody reads the whole body if it is small, else its first
-// maxBufferedBytes. It reports whether it has read the whole body.
+// readAnswerBody reads the whole body if it is small, else its beginning: maxBufferedBytes, or
+// what Memory has room for. It reports whether it has read the whole body.
 func (c *clientConn) readAnswerBody(parsed *http.Response) (*Response, bool, error) {
 	response := &Response{Status: parsed.StatusCode, Header: parsed.Header}
-	if parsed.ContentLength >= 0 && parsed.ContentLength <= maxBufferedBytes {
-		body := make([]byte, parsed.ContentLength)
-		_, err := io.ReadFull(parsed.Body, body)
-		response.Body = body
-		return response, true, err
-	}
-	body, err := io.ReadAll(io.LimitReader(parsed.Body, maxBufferedBytes))
+	body, err := c.memory.read(parsed.Body, parsed.ContentLength, maxBufferedBytes)
+	// The receiver of the answer counts it from here on.
+	c.memory.give(body.counted)
 	if err != nil {
 		return nil, false, err
 	}
-	response.Body = body
-	if len(body) < maxBufferedBytes {
+	response.Body = body.data
+	if body.whole {
 		return response, true, nil
 	}
 	response.Remainder = parsed.Body
 	response.RemainderBytes = -1
 	if parsed.ContentLength >= 0 {
-		response.RemainderBytes = parsed.ContentLength - int64(len(body))
+		response.RemainderBytes = parsed.ContentLength - int64(len(body.data))
 	}
 	return response, false, nil
 }
--- a/internal/sdhttp/server.go
+++ b/internal/sdhttp/server.go
@@ -91,6 +91,11 @@
 	// Recovered, if not nil, is called after a panic in Handler, which then ends only
 	// the connection of its request.
 	Recovered func(value any, stack []byte)
+	// Memory bounds the bodies of requests, and the answers that are not written yet, that
+	// are held. A request for whose body there is no room is answered by Busy, which must
+	// be set with Memory; its Body is nil.
+	Memory *Memory
+	Busy   Handler
 
 	keepAlivesDisabled atomic.Bool
 	mu                 sync.Mutex
--- a/internal/sdhttp/serverconn.go
+++ b/internal/sdhttp/serverconn.go
@@ -23,6 +23,10 @@
 	http10 bool
 	// headMethod is true for a HEAD request.
 	headMethod bool
+	// bodyHeld and answerHeld are the bytes that Memory has counted.
+	bodyHeld, answerHeld int64
+	// busy is true if Memory had no room for the body.
+	busy bool
 }
 
 type serverConn struct {
@@ -42,6 +46,8 @@
 	// closing is true once the connection is about to be closed: no further
 	// answer is begun, and requests read from then on are dropped.
 	closing bool
+	// unwritten is the number of bytes of the answers that are ready and not written.
+	unwritten int64
 	// writing is true while one goroutine writes the answers that are ready.
 	writing bool
 }
@@ -51,6 +57,7 @@
 // disconnects.
 func (c *serverConn) readRequests() {
 	defer c.server.remove(c)
+	defer c.dropUnwritten()
 	defer c.cancel()
 	defer func() { _ = c.conn.Close() }()
 	for {
@@ -106,58 +113,88 @@
 	if parsed.ContentLength > limits.MaxBodyBytes {
 		return nil, nil, errTooLarge
 	}
+	ex := &exchange{closeRequested: parsed.Close, http10: !parsed.ProtoAtLeast(1, 1), headMethod: parsed.Method == http.MethodHead}
 	var body []byte
 	if parsed.ContentLength != 0 {
-		body, err = c.readBody(parsed, limits)
+		body, err = c.readBody(parsed, limits, ex)
 		if err != nil {
 			return nil, nil, err
 		}
 	}
-	ex := &exchange{closeRequested: parsed.Close, http10: !parsed.ProtoAtLeast(1, 1), headMethod: parsed.Method == http.MethodHead}
 	return &Request{
 		Method: parsed.Method, Host: parsed.Host, Target: parsed.RequestURI, Header: parsed.Header,
 		Body: body, ReceivedAt: time.Now(),
 	}, ex, nil
 }
 
-func (c *serverConn) readBody(parsed *http.Request, limits Limits) ([]byte, error) {
+// readBody reads a complete body. If Memory has no room for it, it is discarded, so that the
+// caller, who may not read before it has sent everything, gets an answer.
+func (c *serverConn) readBody(parsed *http.Request, limits Limits, ex *exchange) ([]byte, error) {
 	if parsed.Header.Get("Expect") == "100-continue" {
 		parsed.Header.Del("Expect")
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, err
 		}
 	}
-	body, err := readLimited(parsed.Body, parsed.ContentLength, limits.MaxBodyBytes)
+	body, err := c.server.Memory.read(parsed.Body, parsed.ContentLength, limits.MaxBodyBytes+1)
+	if err == nil && body.whole && int64(len(body.data)) <= limits.MaxBodyBytes {
+		ex.bodyHeld = body.counted
+		return body.data, nil
+	}
+	c.server.Memory.give(body.counted)
 	if err != nil {
 		return nil, err
 	}
-	return body, nil
-}
-
-// readLimited reads a complete body. A body of unknown length (-1) may have up
-// to limit bytes; a known length must have been checked before.
-func readLimited(r io.Reader, length, limit int64) ([]byte, error) {
-	if length >= 0 {
-		body := make([]byte, length)
-		_, err := io.ReadFull(r, body)
-		return body, err
+	held := int64(len(body.data))
+	if held <= limits.MaxBodyBytes {
+		ex.busy = true
+		discarded, err := io.Copy(io.Discard, io.LimitReader(parsed.Body, limits.MaxBodyBytes+1-held))
+		if err != nil {
+			return nil, err
+		}
+		held += discarded
 	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
+	if held > limits.MaxBodyBytes {
 		return nil, errTooLarge
 	}
-	return body, err
+	return nil, nil
 }
 
-// waitUntilNotFull waits until fewer than maxPipelined requests are unanswered.
+// waitUntilNotFull waits until fewer than maxPipelined requests are unanswered, and until
+// not too many bytes of their answers are held because the caller does not read them.
 func (c *serverConn) waitUntilNotFull() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.queue) >= maxPipelined && !c.closing {
+	for !c.closing && (len(c.queue) >= maxPipelined || c.unwritten > maxUnwrittenBytes || c.unwritten > 0 && c.server.Memory.isFull()) {
 		c.notFull.Wait()
 	}
 }
 
+// dropUnwritten gives back what is held for answers that will not be written.
+func (c *serverConn) dropUnwritten() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.writeReady()
+}
+
+// hold counts the answer of an exchange. mu is held.
+func (c *serverConn) hold(ex *exchange) {
+	ex.answerHeld = int64(len(ex.response.Body))
+	c.unwritten += ex.answerHeld
+	c.server.Memory.force(ex.answerHeld)
+}
+
+// release gives back what is held for the answer of an exchange. mu is held.
+func (c *serverConn) release(ex *exchange) {
+	c.unwritten -= ex.answerHeld
+	c.server.Memory.give(ex.answerHeld)
+	ex.answerHeld = 0
+	if ex.response.Remainder != nil {
+		_ = ex.response.Remainder.Close()
+	}
+}
+
 func (c *serverConn) hasRequests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -179,7 +216,8 @@
 // unless another goroutine already writes.
 func (c *serverConn) handle(request *Request, ex *exchange) {
 	defer c.server.active.Add(-1)
-	response := c.callHandler(request)
+	response := c.callHandler(request, ex)
+	c.server.Memory.give(ex.bodyHeld)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if response == nil {
@@ -190,11 +228,12 @@
 		return
 	}
 	ex.response = response
+	c.hold(ex)
 	c.writeReady()
 }
 
 // writeReady writes the answers that are ready, oldest first, unless another goroutine
-// already does. mu is held on entry and on return, but not during the writes.
+// already does. On a connection that is closing it drops them. mu is held on entry and on return, but not during the writes.
 func (c *serverConn) writeReady() {
 	if c.writing {
 		return
@@ -204,12 +243,19 @@
 		c.writeOldest()
 	}
 	c.writing = false
+	if c.closing {
+		for _, ex := range c.queue {
+			if ex.response != nil {
+				c.release(ex)
+			}
+		}
+	}
 	c.notFull.Signal()
 }
 
 // callHandler calls the handler. It returns nil after a panic that Recovered has
 // reported: whether the request has run is then unknown, and so no answer is sent.
-func (c *serverConn) callHandler(request *Request) *Response {
+func (c *serverConn) callHandler(request *Request, ex *exchange) *Response {
 	if c.server.Recovered != nil {
 		defer func() {
 			if value := recover(); value != nil {
@@ -217,6 +263,9 @@
 			}
 		}()
 	}
+	if ex.busy {
+		return c.server.Busy(c.ctx, request)
+	}
 	return c.server.Handler(c.ctx, request)
 }
 
@@ -234,6 +283,8 @@
 	err := writeResponse(c.conn, oldest, closeConn)
 	c.mu.Lock()
 	c.queue = c.queue[1:]
+	c.release(oldest)
+	c.notFull.Signal()
 	c.idleSince = time.Now()
 	if err != nil {
 		c.closing = true
--- a/internal/sdhttp/write.go
+++ b/internal/sdhttp/write.go
@@ -73,6 +73,7 @@
 	switch {
 	case hasNoBody(response.Status):
 	case chunked && ex.http10:
+		_ = response.Remainder.Close()
 		return errUnframed
 	case chunked:
 		b.WriteString("Transfer-Encoding: chunked\r\n")
@@ -93,6 +94,13 @@
 		defer response.Remainder.Close()
 		return writeStream(conn, b, response, chunked)
 	}
+	if len(response.Body) > freeBodyBytes {
+		if _, err := conn.Write(b.Bytes()); err != nil {
+			return err
+		}
+		_, err := conn.Write(response.Body)
+		return err
+	}
 	b.Write(response.Body)
 	_, err := conn.Write(b.Bytes())
 	return err
@@ -138,8 +146,8 @@
 	return err
 }
 
-// writeRequest appends a request with its complete body to b.
-func writeRequest(b *bytes.Buffer, request *Request) {
+// writeRequestHead appends the head of a request to b.
+func writeRequestHead(b *bytes.Buffer, request *Request) {
 	b.WriteString(request.Method)
 	b.WriteByte(' ')
 	b.WriteString(request.Target)
@@ -153,5 +161,4 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(request.Body)
 }
--- a/internal/sdsidecar/callers.go
+++ b/internal/sdsidecar/callers.go
@@ -111,6 +111,14 @@
 	return &sdhttp.Response{Status: status, Header: header}
 }
 
+// refuseLargeRequest answers a request for whose body there is no memory left.
+func (n *Node) refuseLargeRequest(_ context.Context, received *sdhttp.Request) *sdhttp.Response {
+	n.metrics.refusals.WithLabelValues(reasonMemory).Inc()
+	n.log.Request("large request refused", "request", received.Header.Get(n.headers.RequestID), "target", received.Target,
+		"reason", reasonMemory, "held_bytes", n.memory.Used())
+	return n.refusalResponse(http.StatusServiceUnavailable, minRetryAfter+time.Duration(n.randomFraction()*float64(retryAfterSpread)))
+}
+
 // refuse returns the response for a request that has not run. Its Retry-After time is
 // randomised.
 func (n *Node) refuse(r *request, reason string) *sdhttp.Response {
--- a/internal/sdsidecar/metrics.go
+++ b/internal/sdsidecar/metrics.go
@@ -101,6 +101,7 @@
 		defer n.target.mu.Unlock()
 		return rateLimitValue(n.target.feedback.InForce())
 	})
+	gauge("body_memory_bytes", "Bytes of large request and answer bodies that are held.", func() float64 { return float64(n.memory.Used()) })
 	gauge("config_age_seconds", "Seconds since a node last read the store and found no newer configuration.", func() float64 {
 		return n.clock.Now().Sub(time.Unix(0, n.confirmedAt.Load())).Seconds()
 	})
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -71,6 +71,8 @@
 	feedback *sdfeedback.Table
 	random   *rand.Rand
 
+	// memory bounds the bodies that all servers and pools hold together.
+	memory     *sdhttp.Memory
 	peers      peers
 	crossBytes crossDataCentreBytes
 	target     *targetServer
@@ -124,9 +126,11 @@
 	n.peers.init()
 	n.runs.init()
 	n.poison = sdpoison.New()
+	n.memory = sdhttp.NewMemory(int64(bodyMemoryShare * float64(settings.MemoryBytes)))
+	n.peers.memory = n.memory
 	n.target = newTargetServer(n)
-	n.callerServer = &sdhttp.Server{Handler: n.handleCaller, Limits: n.callerLimits, Recovered: n.recovered()}
-	n.peerServer = &sdhttp.Server{Handler: n.handlePeer, Limits: peerLimits, Recovered: n.recovered()}
+	n.callerServer = &sdhttp.Server{Handler: n.handleCaller, Limits: n.callerLimits, Recovered: n.recovered(), Memory: n.memory, Busy: n.refuseLargeRequest}
+	n.peerServer = &sdhttp.Server{Handler: n.handlePeer, Limits: peerLimits, Recovered: n.recovered(), Memory: n.memory, Busy: n.refuseLargeCall}
 	n.registerGauges()
 	return n, nil
 }
@@ -164,6 +168,10 @@
 	return n.random.Float64()
 }
 
+// bodyMemoryShare is the share of the platform's memory limit that the bodies of requests and
+// answers may take, beyond the first 64 KiB of each.
+const bodyMemoryShare = 0.3
+
 // Limits on connections of other nodes, and of callers until a configuration sets their
 // limits.
 const (
--- a/internal/sdsidecar/peers.go
+++ b/internal/sdsidecar/peers.go
@@ -139,6 +139,7 @@
 
 // peers holds the other nodes that this node has contacted, by peer address.
 type peers struct {
+	memory    *sdhttp.Memory
 	mu        sync.Mutex
 	byAddress map[string]*peer
 }
@@ -154,7 +155,7 @@
 	if remote == nil {
 		remote = &peer{
 			address: address, attempts: make(map[*attemptContext]struct{}), prober: sdprobe.Prober{Timeout: probeTimeout},
-			pool: &sdhttp.Pool{Address: address, DialTimeout: peerDialTimeout, IdleTimeout: peerPoolIdleTimeout},
+			pool: &sdhttp.Pool{Address: address, DialTimeout: peerDialTimeout, IdleTimeout: peerPoolIdleTimeout, Memory: p.memory},
 		}
 		p.byAddress[address] = remote
 	}
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -48,6 +48,7 @@
 	reasonUnresponsive = "node_silent"
 	reasonOverload     = "overloaded"
 	reasonPoison       = "crashes_targets"
+	reasonMemory       = "memory_full"
 )
 
 // targetServer queues calls and runs them on this VM's target.
@@ -72,7 +73,7 @@
 func newTargetServer(n *Node) *targetServer {
 	s := &targetServer{
 		node:    n,
-		pool:    &sdhttp.Pool{Address: n.settings.TargetAddress, DialTimeout: targetDialTimeout, IdleTimeout: targetIdleTimeout},
+		pool:    &sdhttp.Pool{Address: n.settings.TargetAddress, DialTimeout: targetDialTimeout, IdleTimeout: targetIdleTimeout, Memory: n.memory},
 		refused: newRefusedRequests(),
 		queue:   sdqueue.New(),
 		waiting: make(map[sdqueue.CallID]chan bool),
@@ -327,6 +328,16 @@
 	return answer, reply
 }
 
+// refuseLargeCall answers a call of another node for whose body there is no memory left.
+func (n *Node) refuseLargeCall(_ context.Context, request *sdhttp.Request) *sdhttp.Response {
+	response := &sdhttp.Response{Status: http.StatusServiceUnavailable, Header: make(http.Header, 1)}
+	if request.Header.Get(sdpeerheader.CallHeader) != "" {
+		_, reply := n.target.notRun(reasonMemory)
+		response.Header.Set(sdpeerheader.ReplyHeader, reply.Encode())
+	}
+	return response
+}
+
 // handlePeer handles a request from another node: a call for this VM's target or a control
 // call.
 func (n *Node) handlePeer(ctx context.Context, request *sdhttp.Request) *sdhttp.Response {
