--- a/internal/sdstandstore/store.go
+++ b/internal/sdstandstore/store.go
@@ -177,14 +177,16 @@
 		return
 	}
 	isWrite := r.Method != http.MethodGet
-	if isWrite && fault == FaultLateWrite {
+	if isWrite && fault == FaultLateWrite && r.Method != http.MethodDelete {
 		time.AfterFunc(LateWriteDelay, func() { s.write(r.Method, kind, name, body) })
 		resetConnection(w)
 		return
 	}
 	var status int
 	var answer any
-	if isWrite {
+	if r.Method == http.MethodDelete {
+		status, answer = s.remove(r, kind, name)
+	} else if isWrite {
 		status, answer = s.write(r.Method, kind, name, body)
 	} else {
 		status, answer = s.read(r, kind, name)
@@ -249,6 +251,24 @@
 	return http.StatusOK, s.set(kind, name, requested.Spec)
 }
 
+// remove applies a DELETE, whose condition is the revision in its query, if there is one.
+func (s *Store) remove(r *http.Request, kind, name string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, ok := s.objects[kind][name]
+	switch revision := r.URL.Query().Get("revision"); {
+	case !ok:
+		return http.StatusNotFound, nil
+	case revision != "" && revision != strconv.FormatInt(stored.Metadata.Revision, 10):
+		return http.StatusConflict, stored
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	stored.Metadata.Revision = s.revision
+	s.addEvent(event{Kind: kind, Object: stored, Removed: true})
+	return http.StatusOK, stored
+}
+
 type listAnswer struct {
 	Items []Object `json:"items"`
 	More  bool     `json:"more"`
