--- a/internal/sddeparture/simulation_test.go
+++ b/internal/sddeparture/simulation_test.go
@@ -42,16 +42,6 @@
 
 var errSilent = errors.New("no answer")
 
-// entry is what members gossip of the target's node.
-type entry struct {
-	generation, incarnation int
-	departed                savorydeal.TargetStart
-}
-
-func (e entry) newerThan(other entry) bool {
-	return e.generation > other.generation || e.generation == other.generation && e.incarnation > other.incarnation
-}
-
 // process is one process of a node, nil while it is down. tracker, keeper and restorer are
 // those of the target's node, table is that of another one.
 type process struct {
@@ -423,24 +413,3 @@
 	}
 	t.Logf("%d acknowledgements, %d kills, %d late heartbeats, %d departures that nobody knew of", acks, kills, late, lost)
 }
-
-type departureEvent struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-// departureEvents is a heap of events in the order of time, then of scheduling.
-type departureEvents []departureEvent
-
-func (e departureEvents) Len() int { return len(e) }
-func (e departureEvents) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].sequence < e[j].sequence
-}
-func (e departureEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *departureEvents) Push(x any)   { *e = append(*e, x.(departureEvent)) }
-func (e *departureEvents) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,13 +72,6 @@
 	openConns int
 }
 
-// ByteCounts counts the bytes of requests and of their answers, without those of
-// the transport. Heads include the framing of bodies. It is safe for concurrent
-// use.
-type ByteCounts struct {
-	RequestHeads, RequestBodies, AnswerHeads, AnswerBodies atomic.Int64
-}
-
 type clientConn struct {
 	conn   *meteredConn
 	raw    syscall.RawConn
@@ -261,17 +253,6 @@
 	return response, nil
 }
 
-// countAnswer counts the bytes received for a request; response is nil if it has no
-// complete answer.
-func (b *ByteCounts) countAnswer(response *Response, received int64) {
-	body := int64(0)
-	if response != nil {
-		body = min(received, int64(len(response.Body)))
-	}
-	b.AnswerBodies.Add(body)
-	b.AnswerHeads.Add(received - body)
-}
-
 // remainderBody is the streamed part of an answer. Its connection is not
 // reused.
 type remainderBody struct {
--- a/internal/sdhttp/metered.go
+++ b/internal/sdhttp/metered.go
@@ -39,3 +39,21 @@
 	c.received.Add(int64(n))
 	return n, err
 }
+
+// ByteCounts counts the bytes of requests and of their answers, without those of
+// the transport. Heads include the framing of bodies. It is safe for concurrent
+// use.
+type ByteCounts struct {
+	RequestHeads, RequestBodies, AnswerHeads, AnswerBodies atomic.Int64
+}
+
+// countAnswer counts the bytes received for a request; response is nil if it has no
+// complete answer.
+func (b *ByteCounts) countAnswer(response *Response, received int64) {
+	body := int64(0)
+	if response != nil {
+		body = min(received, int64(len(response.Body)))
+	}
+	b.AnswerBodies.Add(body)
+	b.AnswerHeads.Add(received - body)
+}
