--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	cases := map[string]func(record string, trouble bool) int{
-		"stale-config": staleConfig, "crashing-request": crashingRequest, "born-back": bornBack, "calls-of-runs": callsOfRuns, "slow-reader": slowReader, "quota-owner": quotaOwner,
+		"stale-config": staleConfig, "crashing-request": crashingRequest, "born-back": bornBack, "calls-of-runs": callsOfRuns, "slow-reader": slowReader, "quota-owner": quotaOwner, "other-writer": otherWriter,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE RECORD")
