--- a/review/standin-2/quotaowner.go
+++ b/review/standin-2/quotaowner.go
@@ -18,8 +18,8 @@
 	quotaOver, quotaSlack = 0.1, 20.0
 	// usualRate is what the tenant usually sends: the quota is 1.6 times that (quota_x).
 	usualRate = quotaRate / 1.6
-	hotTimes  = 6.4
-	hotTime   = 6 * time.Second
+	hotTimes  = 7.5
+	hotTime   = 6500 * time.Millisecond
 	// ownerCutTime is how long the owner's machine is cut off from the store.
 	ownerCutTime = 4 * time.Second
 )
@@ -82,7 +82,7 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
-	for range 2 {
+	for range 3 {
 		owner := w.ownerOf("docks-1")
 		if owner == nil {
 			return cannotRun(fmt.Errorf("no node names the owner of the quota"))
