A reset while a request is written no longer ends an answer without a length

Cause: a request of more than 32 KB is written in the background while its answer is read. The kernel reports a reset once. If the write got it, the read returned the end of the stream, which ends an answer without a length, and the error of the write was used only to decide whether the connection is reused.

Change: at the end of such an answer the write is stopped and its error decides. If it is the connection's, the answer is broken, whether it was buffered or is being streamed. A write that ends with EPIPE, or is only stopped, shows that the server had closed its side in order before: the answer is complete and delivered at once, also to an upload that goes on.

--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -286,36 +286,20 @@
 		request.Bytes.RequestHeads.Add(int64(b.Len()))
 		request.Bytes.RequestBodies.Add(int64(len(request.Body)))
 	}
-	written := make(chan error, 1)
-	large := b.Len()+len(request.Body) > largeRequestBytes
-	if large {
-		go func() {
-			_, err := c.conn.Write(b.Bytes())
-			if err == nil {
-				_, err = c.conn.Write(request.Body)
-			}
-			written <- err
-		}()
-	} else {
+	if b.Len()+len(request.Body) <= largeRequestBytes {
 		b.Write(request.Body)
 		n, err := c.conn.Write(b.Bytes())
 		putBuffer(b)
 		if err != nil {
 			return nil, false, &RequestError{Sent: n > 0, Err: fmt.Errorf("send request: %w", err)}
 		}
+		return c.readAnswer(request, nil, isOwnAnswer)
 	}
-	response, reusable, requestError := c.readAnswer(request, isOwnAnswer)
-	if large {
-		select {
-		case err := <-written:
-			reusable = reusable && err == nil
-		default:
-			// The request is not completely sent. On a reused connection the
-			// server would take its remaining bytes for the next request.
-			reusable = false
-		}
-	}
-	return response, reusable, requestError
+	sending := startUpload(c.conn, b.Bytes(), request.Body)
+	response, reusable, requestError := c.readAnswer(request, sending, isOwnAnswer)
+	// While the request is not completely sent, the server would take its remaining bytes
+	// for the next request on a reused connection.
+	return response, reusable && sending.isComplete(), requestError
 }
 
 // maxStatus is the highest status of an answer.
@@ -335,8 +319,8 @@
 const maxAnswersRead = 3
 
 // readAnswer reads answers until one belongs to the request. It also reports
-// whether the connection can be reused.
-func (c *clientConn) readAnswer(request *Request, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
+// whether the connection can be reused. sending is nil once the request is sent.
+func (c *clientConn) readAnswer(request *Request, sending *upload, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	for range maxAnswersRead {
 		c.conn.limitReads(maxAnswerHeadBytes)
 		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
@@ -350,6 +334,10 @@
 			return nil, false, &RequestError{Sent: true, ResponseStarted: true, Err: fmt.Errorf("%w: %03d", errStatus, parsed.StatusCode)}
 		}
 		c.conn.unlimitReads()
+		framed := parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0
+		if !framed && sending != nil {
+			parsed.Body = &unframedBody{ReadCloser: parsed.Body, sending: sending}
+		}
 		head := Response{Status: parsed.StatusCode, Header: parsed.Header, ReceivedAt: time.Now()}
 		response, complete, err := c.readAnswerBody(parsed, request.held)
 		if err != nil {
@@ -367,7 +355,6 @@
 			continue
 		}
 		c.applyKeepAlive(parsed.Header)
-		framed := parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0
 		return response, framed && !parsed.Close, nil
 	}
 	return nil, false, &RequestError{Sent: true, Err: errors.New("the connection carried answers to other requests only")}
