--- a/internal/sdserve/target_test.go
+++ b/internal/sdserve/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -264,3 +265,34 @@
 		})
 	}
 }
+
+// Guards against an answer without a length that looks complete although its connection was
+// reset while the request was being written.
+func TestResetDuringUploadDoesNotEndTheAnswer(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	for range 20 { // whether the reset is reported to the write or to the read varies
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(conn, make([]byte, 1000))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhello")
+			time.Sleep(2 * time.Millisecond) // the client reads what was sent
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+		body := bytes.NewReader(make([]byte, 16<<20)) // more than the buffers of a connection hold
+		call := savorydeal.Call{Service: "s", Method: http.MethodPost, Path: "/", ContentLength: body.Size()}
+		response, refusal := newTargetClient().do(context.Background(), listener.Addr().String(), "token", call, io.NopCloser(body), time.Now().Add(time.Second))
+		if refusal != nil {
+			is.Equal(refusal.Outcome, savorydeal.OutcomeUnknown)
+			continue
+		}
+		is.True(unframed(response)) // Server.Forward refuses it
+		_ = response.Body.Close()
+	}
+}
