An answer whose head has a malformed line is no answer

Cause: heads of answers are parsed by net/http, which repairs what it can. A name with a blank is kept as it is, so that "Content-Length : 5" frames nothing; a line that begins with a blank or a tab is appended to the value before it; a line feed alone ends a line, and at the beginning of a line the head. Nothing checked the lines before.

Change: sdhead checks the lines of a head as their bytes arrive, before net/http parses them, also those of interim answers and of heads that arrived with an earlier answer. With the end of a malformed line the connection reports an error, and goes on to: net/http looks ahead and drops one error. So such an answer fails as quickly as other bytes that are no answer. A line that begins with a blank is refused as well (RFC 9112 allows 502 for it): it may be a field whose name begins with one.

--- a/internal/sdhttp/client.go
+++ b/internal/sdhttp/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/savorydeal/savorydeal/internal/sdhead"
 )
 
 // RequestError is the error of a request without a complete answer.
@@ -322,8 +324,7 @@
 // whether the connection can be reused. sending is nil once the request is sent.
 func (c *clientConn) readAnswer(request *Request, sending *upload, isOwnAnswer func(http.Header) bool) (*Response, bool, *RequestError) {
 	for range maxAnswersRead {
-		c.conn.limitReads(maxAnswerHeadBytes)
-		parsed, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		parsed, err := c.readAnswerHead(request.Method)
 		if err != nil {
 			return nil, false, &RequestError{Sent: true, Err: fmt.Errorf("read answer: %w", err)}
 		}
@@ -333,7 +334,6 @@
 		if parsed.StatusCode < http.StatusOK || parsed.StatusCode > maxStatus {
 			return nil, false, &RequestError{Sent: true, ResponseStarted: true, Err: fmt.Errorf("%w: %03d", errStatus, parsed.StatusCode)}
 		}
-		c.conn.unlimitReads()
 		framed := parsed.ContentLength >= 0 || len(parsed.TransferEncoding) > 0
 		if !framed && sending != nil {
 			parsed.Body = &unframedBody{ReadCloser: parsed.Body, sending: sending}
@@ -360,6 +360,19 @@
 	return nil, false, &RequestError{Sent: true, Err: errors.New("the connection carried answers to other requests only")}
 }
 
+// readAnswerHead reads and parses the head of an answer to a request with the method.
+func (c *clientConn) readAnswerHead(method string) (*http.Response, error) {
+	c.conn.limitReads(maxAnswerHeadBytes)
+	defer c.conn.unlimitReads()
+	c.conn.check = &sdhead.Check{}
+	defer func() { c.conn.check = nil }()
+	received, _ := c.reader.Peek(c.reader.Buffered()) // with an earlier answer
+	if err := c.conn.check.Add(received); err != nil {
+		return nil, fmt.Errorf("check head: %w", err)
+	}
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // readAnswerBody reads the whole body if it is small, else its beginning: maxBufferedBytes, or
 // what Memory has room for. It reports whether it has read the whole body.
 func (c *clientConn) readAnswerBody(parsed *http.Response, held *heldAnswer) (*Response, bool, error) {
