Malformed heads of answers are refused on the node's own wiring too

Change: connections to the target check the heads of answers. The call's outcome is unknown with the reason target_failed; lines that net/http itself refuses gave target_crashed, which counts towards blocking the request.

Evidence: TestAnswerWithMalformedHeadIsNoAnswer (sdserve), on the code before: 10 of 12 answers with a malformed line were delivered, two of them with the body "X:"; the other two were refused as target_crashed. Now all 12 are refused, and 2 with a sound head are delivered.

--- a/internal/sdserve/target.go
+++ b/internal/sdserve/target.go
@@ -14,6 +14,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdchain"
+	"github.com/savorydeal/savorydeal/internal/sdhead"
 	"github.com/savorydeal/savorydeal/internal/sdheader"
 )
 
@@ -34,9 +35,8 @@
 }
 
 func newTargetClient() *targetClient {
-	dialer := &net.Dialer{Timeout: targetDialTimeout}
 	return &targetClient{transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialTarget,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    1024,
 		IdleConnTimeout:        targetIdleTimeout,
@@ -44,6 +44,16 @@
 	}}
 }
 
+// dialTarget opens a connection to the target that checks the heads of its answers.
+func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: targetDialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to the target: %w", err)
+	}
+	return &sdhead.Conn{Conn: conn}, nil
+}
+
 // singleUseBody hides the body's type from net/http, so that the transport
 // cannot replay it: an automatic retry would be a second run that is not
 // counted.
@@ -57,6 +67,7 @@
 func (c *targetClient) do(ctx context.Context, address string, token sdchain.RunToken, call savorydeal.Call, body io.ReadCloser, deadline time.Time) (*http.Response, *savorydeal.Refusal) {
 	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		info.Conn.(*sdhead.Conn).ExpectAnswer()
 		connected.Store(true)
 		reused.Store(info.Reused)
 	}}
@@ -70,6 +81,13 @@
 	request.Close = !c.returnsToken.Load()
 	setHeaders(request, token, call, deadline)
 	response, err := c.transport.RoundTrip(request)
+	if errors.Is(err, sdhead.ErrMalformed) {
+		return nil, &savorydeal.Refusal{
+			Outcome: savorydeal.OutcomeUnknown,
+			Reason:  savorydeal.ReasonTargetFailed,
+			Detail:  fmt.Sprintf("%v; make the target send header fields as RFC 9112 defines them", err),
+		}
+	}
 	if err == nil && (response.StatusCode < http.StatusOK || response.StatusCode > maxStatus) {
 		_ = response.Body.Close()
 		return nil, &savorydeal.Refusal{
--- a/internal/sdserve/target_test.go
+++ b/internal/sdserve/target_test.go
@@ -27,6 +27,10 @@
 type rawTarget struct {
 	tagged, refusing, repeating bool
 
+	// interim and fields, if set, are written before each answer and at the beginning of its
+	// fields.
+	interim, fields atomic.Value
+
 	address  string
 	conns    atomic.Int64
 	requests atomic.Int64
@@ -70,7 +74,9 @@
 		if r.refusing {
 			status = fmt.Sprintf("503 Service Unavailable\r\n%s: %s", sdheader.Outcome, savorydeal.OutcomeNotRun)
 		}
-		answer := fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, tag, len(request.URL.Path), request.URL.Path)
+		interim, _ := r.interim.Load().(string)
+		fields, _ := r.fields.Load().(string)
+		answer := fmt.Sprintf("%sHTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", interim, status, tag+fields, len(request.URL.Path), request.URL.Path)
 		if r.repeating && last != "" {
 			answer = last
 		}
@@ -296,3 +302,39 @@
 		_ = response.Body.Close()
 	}
 }
+
+// Guards against an answer with a malformed head that reaches the caller. The call may have run,
+// and the target counts as failed, not as crashed.
+func TestAnswerWithMalformedHeadIsNoAnswer(t *testing.T) {
+	for name, line := range map[string]string{
+		"none": "X: v\r\n", "blank in the name": "X Y: v\r\n", "blank after the name": "X : v\r\n", "blank before the name": " X: v\r\n",
+		"tab before the name": "\tX: v\r\n", "control byte in the name": "X\x01Y: v\r\n", "line feed before the name": "\nX: v\r\n",
+	} {
+		for _, interim := range []string{"", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"} {
+			t.Run(name+interim, func(t *testing.T) {
+				is := is.New(t)
+				target := &rawTarget{tagged: true}
+				target.start(t)
+				client := newTargetClient()
+				for number := range 4 { // the last on a connection that is kept
+					if number == 3 {
+						target.interim.Store(interim)
+						target.fields.Store("Content-Length: 2\r\nA: b\r\n" + line)
+					}
+					body, refusal := target.call(t, client, number)
+					if number < 3 || name == "none" {
+						is.True(refusal == nil)
+						is.Equal(body, fmt.Sprintf("/%d", number))
+						continue
+					}
+					if refusal == nil {
+						t.Fatalf("%q was delivered with the body %q", line, body)
+					}
+					is.Equal(refusal.Outcome, savorydeal.OutcomeUnknown)
+					is.Equal(refusal.Reason, savorydeal.ReasonTargetFailed)
+				}
+				is.Equal(target.conns.Load(), int64(2))
+			})
+		}
+	}
+}
