--- a/internal/sdcluster/cluster.go
+++ b/internal/sdcluster/cluster.go
@@ -5,6 +5,7 @@
 package sdcluster
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -311,6 +312,8 @@
 	// Timeout is sent to the node; 0 means defaultTimeout.
 	Timeout time.Duration
 	Header  http.Header
+	// Body makes the request one with method POST unless it is empty.
+	Body []byte
 }
 
 // Answer is what the caller received. Err is set if the answer is missing or
@@ -325,13 +328,19 @@
 // defaultTimeout is the timeout of a request that does not set one.
 const defaultTimeout = 3 * time.Second
 
-// Do sends a request with method GET to the VM's node and returns the answer.
+// Do sends a request, with method GET unless it has a body, to the VM's node and returns the
+// answer.
 func (c *Cluster) Do(ctx context.Context, vm *VM, request Request) Answer {
 	if request.Timeout == 0 {
 		request.Timeout = defaultTimeout
 	}
 	names := platform.Headers()
-	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", vm.Address, portCallers, request.Path), nil)
+	method := http.MethodGet
+	if len(request.Body) > 0 {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s:%d%s", vm.Address, portCallers, request.Path)
+	httpRequest, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(request.Body))
 	if err != nil {
 		return Answer{Err: err}
 	}
--- a/internal/sdstandapp/app.go
+++ b/internal/sdstandapp/app.go
@@ -121,6 +121,13 @@
 	// status that HTTP does not know; the value is the status.
 	FailureStatusLow  Failure = "000"
 	FailureStatusHigh Failure = "600"
+	// FailureBlankInName and FailureLineFeed run the request and send the answer with a malformed
+	// line in its head, which holds the value.
+	FailureBlankInName Failure = "Content-Length : 1"
+	FailureLineFeed    Failure = "\nA: b"
+	// FailureReset runs the request before it has received all of it. It sends the beginning of
+	// an answer without a length and resets the connection.
+	FailureReset Failure = "reset"
 	// FailureShed refuses the request with status 503 and the header that marks
 	// it as not run.
 	FailureShed Failure = "shed"
@@ -291,8 +298,10 @@
 	a.mu.Lock()
 	failure := a.failures(id)
 	a.mu.Unlock()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
-		return
+	if failure != FailureReset {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 	}
 	select {
 	case a.slots <- struct{}{}:
@@ -340,24 +349,42 @@
 	case FailureTruncatedAnswer:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
 	case FailureExtraAnswer:
-		writeRaw(w, edge, id, body, "200", 2)
+		answer := rawAnswer(edge, id, "200", fmt.Sprintf("Content-Length: %d", len(body)), body)
+		writeRaw(w, answer+answer, false)
 		return
 	case FailureStatusLow, FailureStatusHigh:
-		writeRaw(w, edge, id, body, string(failure), 1)
+		writeRaw(w, rawAnswer(edge, id, string(failure), fmt.Sprintf("Content-Length: %d", len(body)), body), false)
+		return
+	case FailureBlankInName, FailureLineFeed:
+		writeRaw(w, rawAnswer(edge, id, "200", fmt.Sprintf("Content-Length: %d\r\n%s", len(body), failure), body), false)
+		return
+	case FailureReset:
+		writeRaw(w, rawAnswer(edge, id, "200", "A: b", body), true)
 		return
 	}
 	_, _ = io.WriteString(w, body)
 }
 
-// writeRaw sends an answer with a status a number of times on the connection and closes it.
-func writeRaw(w http.ResponseWriter, edge savorydeal.EdgeHeaders, id, body, status string, times int) {
+// rawAnswer returns the bytes of an answer with a status and fields of its head.
+func rawAnswer(edge savorydeal.EdgeHeaders, id, status, fields, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s x\r\n%s: %s\r\n%s: signed-%s\r\n%s\r\n\r\n%s", status, edge.RequestID, id, edge.Signature, id, fields, body)
+}
+
+// resetDelay is the time in which the node can read an answer before its connection is reset.
+const resetDelay = 2 * time.Millisecond
+
+// writeRaw sends the bytes on the connection and closes or resets it.
+func writeRaw(w http.ResponseWriter, answer string, reset bool) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	answer := fmt.Sprintf("HTTP/1.1 %s x\r\n%s: %s\r\n%s: signed-%s\r\nContent-Length: %d\r\n\r\n%s", status, edge.RequestID, id, edge.Signature, id, len(body), body)
-	_, _ = io.WriteString(conn, strings.Repeat(answer, times))
+	_, _ = io.WriteString(conn, answer)
+	if reset {
+		time.Sleep(resetDelay)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
 }
 
 // makeOnwardCalls makes the onward calls of a run one after the other. It reports
