--- a/internal/sdhead/check.go
+++ b/internal/sdhead/check.go
@@ -62,7 +62,7 @@
 		return ErrMalformed
 	case c.lines == 0:
 		_, status, _ := bytes.Cut(content, []byte(" "))
-		c.interim = bytes.HasPrefix(status, []byte("1"))
+		c.interim = bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
 	case len(content) == 0:
 		c.lines = 0
 		c.complete = !c.interim
--- a/internal/sdhead/check_test.go
+++ b/internal/sdhead/check_test.go
@@ -58,6 +58,7 @@
 	}{
 		{"HTTP/1.1 200\r\n\r\nX Y: v\r\n", false},
 		{interim + "\r\nHTTP/1.1 204 No Content\r\n\r\n\n", false},
+		{"HTTP/1.1  100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX Y: v\r\n\r\n", true}, // net/http allows further blanks
 		{interim + "X Y: v\r\n\r\n", true},
 		{interim + "\r\nHTTP/1.1 200 OK\r\nX Y: v\r\n\r\n", true},
 		{"HTTP/1.1 200 OK\nA: b\r\n\r\n", true},
