Test cluster: faults of the store for single nodes take effect

A fault for the nodes at some addresses was never injected: on loopback, all nodes call the store from the same source address, so that the two rows "for some" of TestStoreFaults ran without a fault. Each node now reaches the store at an address of its own, by which the stand-in knows it.

--- a/internal/sdcluster/cluster.go
+++ b/internal/sdcluster/cluster.go
@@ -37,6 +37,9 @@
 	portTarget        = 20101
 	portPeers         = 20120
 	portMetrics       = 20121
+	// firstStoreHost is added to the number of a VM for the last part of the IP address at
+	// which the VM reaches the store.
+	firstStoreHost    = 100
 	heartbeatInterval = 300 * time.Millisecond
 	memoryBytes       = 256 << 20
 	// revokeApply is the age of a configuration from which strict revocation refuses keys.
@@ -114,6 +117,8 @@
 	folder        string
 	storeServer   *http.Server
 	storeListener net.Listener
+	// storeCallers maps the IP addresses at which single VMs reach the store to these VMs'.
+	storeCallers map[string]string
 	client        *http.Client
 	log           hclog.Logger
 }
@@ -124,13 +129,14 @@
 func Start(plan Plan, folder string, log hclog.Logger) (*Cluster, error) {
 	c := &Cluster{
 		Store: sdstandstore.New(), Ledger: &sdstandapp.Ledger{}, Plan: plan, folder: folder, log: log,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		storeCallers: make(map[string]string),
+		client:       &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
 	network, err := c.reserveNetwork()
 	if err != nil {
 		return nil, err
 	}
-	c.storeServer = &http.Server{Handler: c.Store}
+	c.storeServer = &http.Server{Handler: http.HandlerFunc(c.serveStore)}
 	go func() { _ = c.storeServer.Serve(c.storeListener) }()
 	if err := c.SetConfig(plan.Config); err != nil {
 		return nil, err
@@ -153,6 +159,17 @@
 	return c.storeListener.Addr().String()
 }
 
+// serveStore serves a call of the store. All callers on loopback may have the same IP address:
+// a VM is known by the address at which it reaches the store.
+func (c *Cluster) serveStore(w http.ResponseWriter, r *http.Request) {
+	if local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr); ok {
+		if caller, ok := c.storeCallers[local.IP.String()]; ok {
+			r.RemoteAddr = net.JoinHostPort(caller, "0")
+		}
+	}
+	c.Store.ServeHTTP(w, r)
+}
+
 // maxReserveAttempts bounds how many networks Start tries to reserve.
 const maxReserveAttempts = 20
 
@@ -180,10 +197,17 @@
 		Address: fmt.Sprintf("%s%d", network, number), cluster: c, nodeStopped: make(chan error, 1),
 	}
 	addressOf := func(port int) string { return fmt.Sprintf("%s:%d", vm.Address, port) }
+	storeIP := fmt.Sprintf("%s%d", network, firstStoreHost+number)
+	storeListener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", storeIP, portStore))
+	if err != nil {
+		return fmt.Errorf("listen for calls of %s to the store: %w", vm.Name, err)
+	}
+	c.storeCallers[storeIP], vm.StoreAddress = vm.Address, storeListener.Addr().String()
+	go func() { _ = c.storeServer.Serve(storeListener) }()
 	settings, err := platformtest.EncodeSettings(platform.Settings{
 		Node: vm.Name, DataCentre: dataCentre, Region: "loopback", Service: service.Name, TargetAddress: addressOf(portTarget),
 		CallerAddress: addressOf(portCallers), ReadyAddress: addressOf(portReady), AnnounceAddress: addressOf(portAnnounce), AnnounceEvery: heartbeatInterval,
-		MemoryBytes: cmp.Or(c.Plan.MemoryBytes, memoryBytes), MaxDescriptors: c.Plan.MaxDescriptors, StoreAddress: c.storeListener.Addr().String(),
+		MemoryBytes: cmp.Or(c.Plan.MemoryBytes, memoryBytes), MaxDescriptors: c.Plan.MaxDescriptors, StoreAddress: vm.StoreAddress,
 		Bounds: platform.Bounds{
 			Drain: 2 * time.Second, Grace: c.Plan.Grace, RetryRatio: 0.2, BudgetWindow: 10 * time.Second, MinRetries: 50, ConfigApply: 2 * time.Second,
 			QuotaWindow: QuotaWindow, QuotaExcess: QuotaExcess, QuotaSlack: QuotaSlack,
--- a/internal/sdcluster/era_test.go
+++ b/internal/sdcluster/era_test.go
@@ -228,7 +228,7 @@
 	t.Cleanup(relay.Close)
 	settings, err := os.ReadFile(cut.SettingsPath)
 	is.NoErr(err)
-	is.NoErr(os.WriteFile(cut.SettingsPath, bytes.ReplaceAll(settings, []byte(cluster.StoreAddress()), []byte(relay.Address())), 0o600))
+	is.NoErr(os.WriteFile(cut.SettingsPath, bytes.ReplaceAll(settings, []byte(cut.StoreAddress), []byte(relay.Address())), 0o600))
 	restart(ctx, t, cut)
 	is.NoErr(cluster.WaitReady(ctx))
 	is.NoErr(cut.App.SendLeave(ctx))
--- a/internal/sdcluster/vm.go
+++ b/internal/sdcluster/vm.go
@@ -18,6 +18,8 @@
 	DataCentre string
 	Service    string
 	Address    string
+	// StoreAddress is the IP address and port at which its node reaches the store.
+	StoreAddress string
 	// SettingsPath is the path of the settings file of its node.
 	SettingsPath string
 	App          *sdstandapp.App
