The age of a confirmed configuration no longer shrinks between nodes

What callers saw: nothing measured on its own. A withdrawn key could be accepted for longer than strict revocation allows, and a node could wait too long before it read the store itself.

Cause: each datagram states how long ago the sender's configuration was confirmed, in units of 50 ms, rounded down. Each hop made the confirmation up to 50 ms younger, so that nodes which exchange it often kept it alive while no node could read the store.

Change: the age is rounded up. It may now look older by up to 50 ms for each hop, never younger.

--- a/internal/sdsidecar/configreport.go
+++ b/internal/sdsidecar/configreport.go
@@ -19,9 +19,14 @@
 }
 
 // encode packs the version into the upper 48 bits and the age into the lower 16 bits.
-// An age above the maximum, about 55 minutes, is encoded as the maximum.
+// An age above the maximum, about 55 minutes, is encoded as the maximum. The age is rounded
+// up: it passes through many nodes, and would fall behind the time that passes meanwhile.
 func (r configReport) encode() uint64 {
-	age := min(maxReportAgeUnits, uint64(max(0, r.age)/reportAgeUnit))
+	units := max(0, r.age) / reportAgeUnit
+	if r.age > units*reportAgeUnit {
+		units++
+	}
+	age := min(maxReportAgeUnits, uint64(units))
 	return r.version<<reportAgeBits | age
 }
 
