A configuration is in force in time while the watchers are cut off from the store

Cause: a node that is no watcher read the store once its last confirmation was 2.5 s old plus 0.3 s for its rank, checked every 0.3 s: constants above the allowed time, which was no input.

Change: a confirmation that is much later than the last one is passed on at once to three nodes of the data centre, each of which does the same. The new package sdwatch derives all times from the time that the settings allow: a watch lasts half of it, the next node by rank reads after 0.65, all of the first eleven by 0.8. Such a node then watches until another one has confirmed the configuration, so that later changes are in force at once.

It works since each node bounds the age of what it knows by the time allowed, whoever watches.

--- a/internal/sdcluster/cluster.go
+++ b/internal/sdcluster/cluster.go
@@ -30,13 +30,13 @@
 
 // All VMs use the same ports on addresses of their own.
 const (
-	portStore         = 20100
-	portCallers       = 20104
-	portReady         = 20102
-	portAnnounce      = 20106
-	portTarget        = 20101
-	portPeers         = 20120
-	portMetrics       = 20121
+	portStore    = 20100
+	portCallers  = 20104
+	portReady    = 20102
+	portAnnounce = 20106
+	portTarget   = 20101
+	portPeers    = 20120
+	portMetrics  = 20121
 	// firstStoreHost is added to the number of a VM for the last part of the IP address at
 	// which the VM reaches the store.
 	firstStoreHost    = 100
@@ -119,8 +119,8 @@
 	storeListener net.Listener
 	// storeCallers maps the IP addresses at which single VMs reach the store to these VMs'.
 	storeCallers map[string]string
-	client        *http.Client
-	log           hclog.Logger
+	client       *http.Client
+	log          hclog.Logger
 }
 
 // Start starts the store and the targets of a plan, and writes the settings of
--- a/internal/sdsidecar/accounts.go
+++ b/internal/sdsidecar/accounts.go
@@ -69,7 +69,7 @@
 // which may have been added a moment ago. It refuses the request if that is not certain.
 func (n *Node) checkUnknownKey(ctx context.Context, r *request) *sdhttp.Response {
 	key := r.http.Header.Get(sdaccount.Header)
-	confirmed := func() bool { return n.confirmationAge() <= n.maxConfirmationAge() }
+	confirmed := func() bool { return n.confirmationAge() <= n.configApply() }
 	if confirmed() && r.config.checked.Contains(n.clock.Now(), key) {
 		return nil
 	}
@@ -121,14 +121,6 @@
 	return n.confirmationAge() > limit-confirmationError
 }
 
-// maxConfirmationAge returns the time within which a new configuration has to be in force.
-func (n *Node) maxConfirmationAge() time.Duration {
-	if apply := n.reloadable.Load().bounds.ConfigApply; apply > 0 {
-		return apply
-	}
-	return maxConfirmationAge
-}
-
 // refuseKey returns the response to a request that needs an API key and has no valid one.
 func (n *Node) refuseKey(r *request, verdict sdaccount.Verdict) *sdhttp.Response {
 	n.metrics.unauthorised.WithLabelValues(string(verdict)).Inc()
--- a/internal/sdsidecar/accounts_test.go
+++ b/internal/sdsidecar/accounts_test.go
@@ -49,7 +49,7 @@
 	t.Helper()
 	node := testNode(t)
 	applyAccounts(t, node, 5, accountA)
-	node.setConfirmedAt(&node.control, node.clock.Now())
+	node.recordReport(&node.control, node.clock.Now())
 	node.configCheck.check = func(context.Context) {
 		if check != nil {
 			check(node)
--- a/internal/sdsidecar/cluster.go
+++ b/internal/sdsidecar/cluster.go
@@ -15,6 +15,7 @@
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdjoin"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
+	"github.com/savorydeal/savorydeal/internal/sdwatch"
 	"github.com/savorydeal/savorydeal/internal/sdwire"
 	"github.com/savorydeal/savorydeal/platform"
 )
@@ -23,18 +24,12 @@
 	// kindMeetingPoint is the kind of the store objects that hold the peer address
 	// of a node to join through.
 	kindMeetingPoint = "meeting-points"
-	// maxWatchWait is the longest time that one watch waits for a change. A store
-	// that has dropped its history may keep a watch waiting that has missed a
-	// change, so this has to be shorter than the time within which a new
-	// configuration must be in force.
-	maxWatchWait = 1500 * time.Millisecond
-	// maxConfirmationAge is how long a watcher's confirmation of the configuration
-	// stays valid, including the time that gossip takes to spread it.
-	maxConfirmationAge = 2500 * time.Millisecond
-	// fallbackReadDelay is added to maxConfirmationAge for each watch rank after the
-	// watchers. A node that is not a watcher reads the store itself once the last
-	// confirmation is older than that, so that not all nodes read at once.
-	fallbackReadDelay = 300 * time.Millisecond
+	// defaultConfigApply is the time within which a new configuration has to be in force if
+	// the settings don't state it.
+	defaultConfigApply = 2500 * time.Millisecond
+	// firstConfigWait is how long a node that is no watcher waits for a configuration when the
+	// whole platform starts for the first time.
+	firstConfigWait = 2500 * time.Millisecond
 	// joinPollInterval is the time between two checks of what the node has to do to
 	// find other nodes.
 	joinPollInterval = 100 * time.Millisecond
@@ -48,9 +43,9 @@
 	// the store.
 	minStoreBackoff = 200 * time.Millisecond
 	maxStoreBackoff = 1500 * time.Millisecond
-	// watchRankPollInterval is the time after which a node that does not watch the
+	// watchPollInterval is the longest time after which a node that does not watch the
 	// store checks again whether it has to.
-	watchRankPollInterval = 300 * time.Millisecond
+	watchPollInterval = 300 * time.Millisecond
 )
 
 // backoff is a randomised exponential backoff.
@@ -72,8 +67,9 @@
 }
 
 // runConfigWatch keeps the configuration up to date from the store while this node
-// is a watcher. Any other node also reads the store if the last confirmation by a
-// watcher is too old, since the store may be refusing the watchers' calls.
+// is a watcher. Any other node watches the store as well if the last confirmation by
+// another one is too old, since the watchers may be cut off from the store, and until there
+// is one again.
 func (n *Node) runConfigWatch(ctx context.Context) error {
 	storeBackoff := backoff{node: n}
 	var revision int64
@@ -81,9 +77,9 @@
 	var era uint64
 	reachable := true
 	for ctx.Err() == nil {
-		if !n.shouldWatch(ctx) {
+		if delay := n.watchDelay(ctx); delay > 0 {
 			revision = 0
-			n.sleep(ctx, watchRankPollInterval)
+			n.sleep(ctx, min(delay, watchPollInterval))
 			continue
 		}
 		if current := n.era.current(); current != era {
@@ -111,31 +107,30 @@
 	return nil
 }
 
-// shouldWatch reports whether this node has to read or watch the store now.
-func (n *Node) shouldWatch(ctx context.Context) bool {
-	hasConfig := n.routes.Load() != nil
+// watchDelay returns how long this node waits before it reads or watches the store, 0 if
+// it has to do so now.
+func (n *Node) watchDelay(ctx context.Context) time.Duration {
 	if !n.joinAttempted.Load() {
 		// The rank is not known yet. A node that starts again reads the configuration
 		// at once, because callers wait for it.
-		return !hasConfig && !n.settings.FirstStart
+		if n.routes.Load() == nil && !n.settings.FirstStart {
+			return 0
+		}
+		return watchPollInterval
 	}
-	rank := n.watchRank.Load()
+	rank := int(n.watchRank.Load())
 	if rank < sdjoin.WatchersPerDataCentre {
-		return true
-	}
-	maxAge := maxConfirmationAge + time.Duration(rank-sdjoin.WatchersPerDataCentre)*fallbackReadDelay
-	if !hasConfig && !n.settings.FirstStart {
-		maxAge = maxFetchWait
+		return 0
 	}
-	expired := false
-	_ = n.callControl(ctx, func(c *controlState) {
-		since := c.confirmedAt
-		if since.Before(n.started) {
-			since = n.started
-		}
-		expired = n.clock.Now().Sub(since) > maxAge
-	})
-	return expired
+	delay := watchPollInterval
+	_ = n.callControl(ctx, func(c *controlState) { delay = max(0, n.readDelay(c, rank)) })
+	return delay
+}
+
+func (n *Node) watchWait() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return sdwatch.Wait(n.configApply(), n.random)
 }
 
 // watchOnce reads the configuration if revision is 0 and otherwise waits for a change
@@ -143,12 +138,15 @@
 func (n *Node) watchOnce(ctx context.Context, era uint64, revision int64) (int64, error) {
 	// The response states what was newest at some time until then. A node that was
 	// suspended may read it much later.
-	confirmedBy := n.clock.Now()
+	startedAt := n.clock.Now()
+	confirmedBy := startedAt
+	wait := n.watchWait()
 	if revision != 0 {
-		confirmedBy = confirmedBy.Add(maxWatchWait)
+		confirmedBy = confirmedBy.Add(wait)
 	}
-	list, err := n.readConfig(ctx, era, revision)
+	list, err := n.readConfig(ctx, era, revision, wait)
 	if err != nil {
+		_ = n.callControl(ctx, func(c *controlState) { c.confirmed.StandsIn = false })
 		return revision, err
 	}
 	readAt := n.clock.Now()
@@ -166,7 +164,7 @@
 		if readAt.Before(confirmedBy) {
 			confirmedBy = readAt
 		}
-		n.setConfirmedAt(c, confirmedBy)
+		n.recordRead(c, startedAt, confirmedBy)
 	})
 	// An outdated response must not move the start of the next watch back.
 	return max(revision, list.Revision), nil
--- a/internal/sdsidecar/configcheck.go
+++ b/internal/sdsidecar/configcheck.go
@@ -128,7 +128,7 @@
 	}
 	return n.callControl(ctx, func(c *controlState) {
 		n.applyConfig(c, object.Value, "store")
-		n.setConfirmedAt(c, startedAt)
+		n.recordRead(c, startedAt, startedAt)
 	})
 }
 
@@ -201,10 +201,10 @@
 			n.applyConfig(c, config, address)
 		}
 		if behind = report.version < c.config.Version; !behind {
-			n.setConfirmedAt(c, startedAt.Add(-report.age))
+			n.recordReport(c, startedAt.Add(-report.age))
 		}
 	})
-	if err == nil && (behind || report.age > n.maxConfirmationAge()) {
+	if err == nil && (behind || report.age > n.configApply()) {
 		err = fmt.Errorf("answer of %s is outdated: version %d, confirmed %v before", address, report.version, report.age)
 	}
 	return err
@@ -233,7 +233,7 @@
 	}
 	var report configReport
 	_ = n.callControl(ctx, func(c *controlState) {
-		report = configReport{version: c.config.Version, age: n.clock.Now().Sub(c.confirmedAt)}
+		report = configReport{version: c.config.Version, age: n.clock.Now().Sub(c.confirmed.At)}
 	})
 	return strconv.AppendUint(nil, report.encode(), 10)
 }
--- a/internal/sdsidecar/configcheck_test.go
+++ b/internal/sdsidecar/configcheck_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/savorydeal/savorydeal"
+	"github.com/savorydeal/savorydeal/internal/sdgossip"
 )
 
 // Guards against a check that fails, or confirms an outdated configuration, because of one
@@ -45,6 +46,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			node := testNode(t)
+			socket, err := sdgossip.Listen("127.0.0.1:0", 0, nil)
+			is.NoErr(err)
+			defer func() { _ = socket.Close() }()
+			node.socket = socket
 			applyAccounts(t, node, 5, accountA)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
--- a/internal/sdsidecar/control.go
+++ b/internal/sdsidecar/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/savorydeal/savorydeal/internal/sdinstance"
 	"github.com/savorydeal/savorydeal/internal/sdjoin"
 	"github.com/savorydeal/savorydeal/internal/sdroster"
+	"github.com/savorydeal/savorydeal/internal/sdwatch"
 	"github.com/savorydeal/savorydeal/platform"
 )
 
@@ -47,9 +47,11 @@
 	departureRecord departureRecord
 	// departuresKept is closed, and replaced, when the keeper has learnt something.
 	departuresKept chan struct{}
-	// confirmedAt is the latest known time at which some node read the store and
-	// found nothing newer than the configuration in force here.
-	confirmedAt time.Time
+	// confirmed holds when some node last read the store and found nothing newer than the
+	// configuration in force here.
+	confirmed sdwatch.Confirmations
+	// confirmationSpreadAt is the last confirmation that this node passed on at once.
+	confirmationSpreadAt time.Time
 	// firstConfig decides whether the store's configuration may be the first one in force.
 	firstConfig sdera.FirstConfig
 }
@@ -165,29 +167,10 @@
 	case report.version < c.config.Version:
 		n.sendVersion(c, from)
 	case report.version == c.config.Version:
-		n.setConfirmedAt(c, n.clock.Now().Add(-report.age))
+		n.recordReport(c, n.clock.Now().Add(-report.age))
 	}
 }
 
-// setConfirmedAt records a time at which the configuration in force was known to be the
-// newest, unless a later one is known.
-func (n *Node) setConfirmedAt(c *controlState, confirmedAt time.Time) {
-	if confirmedAt.After(c.confirmedAt) {
-		c.confirmedAt = confirmedAt
-		n.confirmedAt.Store(&confirmedAt)
-	}
-}
-
-// confirmationAge returns the time since the configuration in force was last known to be
-// the newest.
-func (n *Node) confirmationAge() time.Duration {
-	confirmedAt := n.confirmedAt.Load()
-	if confirmedAt == nil {
-		return math.MaxInt64
-	}
-	return n.clock.Now().Sub(*confirmedAt)
-}
-
 // sendVersion sends a node the configuration version in force here. The node fetches
 // the configuration if its own is older.
 func (n *Node) sendVersion(c *controlState, to string) {
@@ -199,7 +182,7 @@
 func (n *Node) send(c *controlState, packets []sdroster.Packet) {
 	for _, packet := range packets {
 		now := n.clock.Now()
-		report := configReport{version: c.config.Version, age: now.Sub(c.confirmedAt)}
+		report := configReport{version: c.config.Version, age: now.Sub(c.confirmed.At)}
 		datagram := sdgossip.Datagram{ConfigDigest: report.encode(), Membership: &packet.Message, StoreEra: n.era.current()}
 		n.sendDatagram(packet.To, datagram, now)
 	}
--- a/internal/sdsidecar/dump.go
+++ b/internal/sdsidecar/dump.go
@@ -48,7 +48,7 @@
 		}
 		state["departures_of_others"] = departuresOfOthers
 		state["config"] = map[string]any{
-			"version": c.config.Version, "routes": len(c.config.Routes), "confirmed_ago_s": now.Sub(c.confirmedAt).Seconds(),
+			"version": c.config.Version, "routes": len(c.config.Routes), "confirmed_ago_s": now.Sub(c.confirmed.At).Seconds(),
 			"accounts": accountsState(c.config.Accounts),
 		}
 		members := make([]map[string]any, 0, len(c.members))
--- a/internal/sdsidecar/era.go
+++ b/internal/sdsidecar/era.go
@@ -219,8 +219,8 @@
 }
 
 // readConfig reads the configuration if revision is 0 and otherwise waits for a change after
-// the revision, which is one of the era. A watch ends early if the era rises.
-func (n *Node) readConfig(ctx context.Context, era uint64, revision int64) (savorydeal.ObjectList, error) {
+// the revision, which is one of the era, up to wait. A watch ends early if the era rises.
+func (n *Node) readConfig(ctx context.Context, era uint64, revision int64, wait time.Duration) (savorydeal.ObjectList, error) {
 	if revision == 0 {
 		list, err := n.store.List(ctx, platform.ConfigKind)
 		if err == nil {
@@ -230,7 +230,7 @@
 	}
 	watchCtx, cancel := n.era.untilRise(ctx, era)
 	defer cancel()
-	list, err := n.store.Watch(watchCtx, platform.ConfigKind, revision, maxWatchWait)
+	list, err := n.store.Watch(watchCtx, platform.ConfigKind, revision, wait)
 	if riseErr := n.era.checkCondition(era); riseErr != nil {
 		return savorydeal.ObjectList{}, riseErr
 	}
--- a/internal/sdsidecar/node.go
+++ b/internal/sdsidecar/node.go
@@ -52,7 +52,7 @@
 	departuresPending chan struct{}
 	socket            *sdgossip.Socket
 	routes            atomic.Pointer[configInForce]
-	// confirmedAt is a copy of controlState.confirmedAt for requests and metrics, nil
+	// confirmedAt is a copy of controlState.confirmed.At for requests and metrics, nil
 	// before the first confirmation.
 	confirmedAt atomic.Pointer[time.Time]
 	configCheck *configCheck
--- a/internal/sdsidecar/traffic.go
+++ b/internal/sdsidecar/traffic.go
@@ -78,7 +78,7 @@
 		members, version := 0, uint64(0)
 		var confirmedAgo time.Duration
 		err := n.callControl(ctx, func(c *controlState) {
-			version, confirmedAgo = c.config.Version, n.clock.Now().Sub(c.confirmedAt)
+			version, confirmedAgo = c.config.Version, n.clock.Now().Sub(c.confirmed.At)
 			for _, member := range c.members {
 				if member.Live() {
 					members++
