A sound caller's answer no longer lifts the block of a request that crashes targets

Cause: a request is blocked by its fingerprint: service, method, path and body. The platform names such a request by path, caller and body. Requests of another calling service, which the targets ran and answered, had the same fingerprint, and each of their answers deleted the record at all nodes of the service, the block included, within milliseconds.

Change: the calling service is a part of the fingerprint on the users' platform. An answer still deletes the record of the same request: one that was answered does not crash each target.

On the product's own wiring callers' names are chosen freely, so that they stay out of the fingerprint there.

TestCrashingRequest sent its request from machines of two services, which are two requests by the platform's words (path, caller and body), and wanted two crashes in all. It now sends as many from the machines of one service, and still wants two.

--- a/internal/sdcluster/failures_test.go
+++ b/internal/sdcluster/failures_test.go
@@ -110,9 +110,15 @@
 			is := is.New(t)
 			cluster, ctx := start(t)
 			crashOnRequests(cluster, "crash")
+			var callers []*sdcluster.VM // of one service: another one's request is another request
+			for _, vm := range cluster.VMs {
+				if vm.Service == "desk" {
+					callers = append(callers, vm)
+				}
+			}
 			last := sdcluster.Answer{}
 			for i := range 8 {
-				last = cluster.Do(ctx, cluster.VMs[i%len(cluster.VMs)], sdcluster.Request{ID: fmt.Sprintf("crash%d", i), Path: path})
+				last = cluster.Do(ctx, callers[i%len(callers)], sdcluster.Request{ID: fmt.Sprintf("crash%d", i), Path: path})
 				is.NoErr(last.Err)
 				is.True(last.Status != http.StatusOK)
 				time.Sleep(100 * time.Millisecond)
--- a/internal/sddispatch/dispatcher.go
+++ b/internal/sddispatch/dispatcher.go
@@ -72,7 +72,9 @@
 		call.ContentLength = length
 	}
 	if d.Poison != nil {
-		call.Fingerprint = uint64(sdpoison.FingerprintOf(call, buffered.Prefix()))
+		// A caller's name is chosen freely here: requests that crash targets would reach
+		// two more under each name.
+		call.Fingerprint = uint64(sdpoison.FingerprintOf(call, "", buffered.Prefix()))
 	}
 	current := &dispatch{
 		dispatcher: d,
--- a/internal/sdpoison/table.go
+++ b/internal/sdpoison/table.go
@@ -32,7 +32,7 @@
 	maxPathBytes = 256
 )
 
-// Fingerprint is a hash of service, method, path, content length and body.
+// Fingerprint is a hash of service, caller, method, path, content length and body.
 // Requests that differ only in their idempotency key have the same fingerprint.
 type Fingerprint uint64
 
@@ -50,11 +50,12 @@
 	return Fingerprint(value), nil
 }
 
-// FingerprintOf returns the fingerprint of a call. body is the complete body, or
-// only its beginning if the body is too large to be buffered.
-func FingerprintOf(call savorydeal.Call, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a call. caller is empty if targets do not
+// distinguish callers. body is the complete body, or only its beginning if the body is
+// too large to be buffered.
+func FingerprintOf(call savorydeal.Call, caller string, body []byte) Fingerprint {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(call.Service + "\x00" + call.Method + "\x00" + call.Path + "\x00")
+	_, _ = digest.WriteString(call.Service + "\x00" + caller + "\x00" + call.Method + "\x00" + call.Path + "\x00")
 	_, _ = digest.WriteString(strconv.FormatInt(call.ContentLength, 10) + "\x00")
 	_, _ = digest.Write(body)
 	return Fingerprint(digest.Sum64())
--- a/internal/sdpoison/table_test.go
+++ b/internal/sdpoison/table_test.go
@@ -98,11 +98,12 @@
 	call := savorydeal.Call{Service: "orders", Method: "POST", Path: "/orders", Key: "a", ContentLength: 1}
 	otherKey := call
 	otherKey.Key = "b"
-	is.Equal(sdpoison.FingerprintOf(call, []byte("x")), sdpoison.FingerprintOf(otherKey, []byte("x")))
-	is.True(sdpoison.FingerprintOf(call, []byte("x")) != sdpoison.FingerprintOf(call, []byte("y")))
+	is.Equal(sdpoison.FingerprintOf(call, "c", []byte("x")), sdpoison.FingerprintOf(otherKey, "c", []byte("x")))
+	is.True(sdpoison.FingerprintOf(call, "c", []byte("x")) != sdpoison.FingerprintOf(call, "c", []byte("y")))
 	otherPath := call
 	otherPath.Path = "/orders/1"
-	is.True(sdpoison.FingerprintOf(call, []byte("x")) != sdpoison.FingerprintOf(otherPath, []byte("x")))
+	is.True(sdpoison.FingerprintOf(call, "c", []byte("x")) != sdpoison.FingerprintOf(otherPath, "c", []byte("x")))
+	is.True(sdpoison.FingerprintOf(call, "c", []byte("x")) != sdpoison.FingerprintOf(call, "d", []byte("x")))
 	parsed, err := sdpoison.ParseFingerprint(sdpoison.Fingerprint(7).String())
 	is.NoErr(err)
 	is.Equal(parsed, sdpoison.Fingerprint(7))
--- a/internal/sdsidecar/accounts_test.go
+++ b/internal/sdsidecar/accounts_test.go
@@ -294,7 +294,7 @@
 	}
 	node.applyConfig(&node.control, []byte(`{"tenants":[{"name":"a","apiKeys":["key-c"," key-d"]}]}`), "test")
 	request := &sdhttp.Request{Method: http.MethodGet, Target: "/look/", Header: bearer("key-a")}
-	node.handleBrokenRun("s", request, time.Second)
+	node.handleBrokenRun(sdpeerheader.Call{Service: "s"}, request, time.Second)
 	node.recordTargetCrash(node.crashes.takeAll())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error)
--- a/internal/sdsidecar/crash.go
+++ b/internal/sdsidecar/crash.go
@@ -13,6 +13,7 @@
 
 	"github.com/savorydeal/savorydeal"
 	"github.com/savorydeal/savorydeal/internal/sdhttp"
+	"github.com/savorydeal/savorydeal/internal/sdpeerheader"
 	"github.com/savorydeal/savorydeal/internal/sdpeerpb"
 	"github.com/savorydeal/savorydeal/internal/sdpoison"
 )
@@ -57,17 +58,18 @@
 }
 
 // fingerprintOf returns the fingerprint of a request; requests that differ only in
-// their ID have the same one.
-func fingerprintOf(service string, request *sdhttp.Request) sdpoison.Fingerprint {
-	call := savorydeal.Call{Service: service, Method: request.Method, Path: request.Target, ContentLength: int64(len(request.Body))}
-	return sdpoison.FingerprintOf(call, request.Body)
+// their ID have the same one. Those of different calling services do not: a target may run
+// one of them and crash on the other.
+func fingerprintOf(call sdpeerheader.Call, request *sdhttp.Request) sdpoison.Fingerprint {
+	identity := savorydeal.Call{Service: call.Service, Method: request.Method, Path: request.Target, ContentLength: int64(len(request.Body))}
+	return sdpoison.FingerprintOf(identity, call.CallerService, request.Body)
 }
 
 // handleBrokenRun handles a run whose connection ended without an answer: after
 // crashCheckDelay it checks whether the target has crashed.
-func (n *Node) handleBrokenRun(service string, request *sdhttp.Request, ranFor time.Duration) {
+func (n *Node) handleBrokenRun(call sdpeerheader.Call, request *sdhttp.Request, ranFor time.Duration) {
 	first := n.crashes.add(sdpoison.Crash{
-		Fingerprint: fingerprintOf(service, request), Service: service, Method: request.Method, Path: request.Target,
+		Fingerprint: fingerprintOf(call, request), Service: call.Service, Method: request.Method, Path: request.Target,
 		Node: n.self, RanFor: ranFor,
 	})
 	if !first {
@@ -114,11 +116,11 @@
 
 // recordAnsweredRun clears the crashes of a request that a target has answered, since
 // the request does not crash every target that runs it.
-func (n *Node) recordAnsweredRun(service string, request *sdhttp.Request) {
+func (n *Node) recordAnsweredRun(call sdpeerheader.Call, request *sdhttp.Request) {
 	if n.poison.Empty() {
 		return
 	}
-	fingerprint := fingerprintOf(service, request)
+	fingerprint := fingerprintOf(call, request)
 	if n.poison.RecordSuccess(fingerprint) {
 		go n.notifyService(&sdpeerpb.Poison{Released: []uint64{uint64(fingerprint)}})
 	}
@@ -126,8 +128,8 @@
 
 // isBlocked reports whether a request is blocked because it has crashed too many
 // targets.
-func (n *Node) isBlocked(service string, request *sdhttp.Request) bool {
-	return !n.poison.Empty() && n.poison.Check(n.clock.Now(), fingerprintOf(service, request)) != nil
+func (n *Node) isBlocked(call sdpeerheader.Call, request *sdhttp.Request) bool {
+	return !n.poison.Empty() && n.poison.Check(n.clock.Now(), fingerprintOf(call, request)) != nil
 }
 
 // notifyService sends a crash report to the other nodes of this node's service, so
--- a/internal/sdsidecar/refused_test.go
+++ b/internal/sdsidecar/refused_test.go
@@ -92,8 +92,8 @@
 	announceTarget(node, savorydeal.TargetStart{Identity: "i-1", Started: 100})
 	request := &sdhttp.Request{Method: http.MethodGet, Host: "h", Target: "/", Header: http.Header{}, ReceivedAt: time.Now()}
 	request.Header.Set(node.headers.RequestID, "x")
-	is.True(node.poison.RecordCrash(node.clock.Now(), sdpoison.Crash{Fingerprint: fingerprintOf("s", request), Service: "s", Node: "n2"}))
 	call := sdpeerheader.Call{Service: "s", Route: "r", Remaining: time.Second, MaxWait: time.Second}
+	is.True(node.poison.RecordCrash(node.clock.Now(), sdpoison.Crash{Fingerprint: fingerprintOf(call, request), Service: "s", Node: "n2"}))
 	for i, want := range []sdpeerheader.Outcome{sdpeerheader.OutcomeNotRun, sdpeerheader.OutcomeRan} {
 		_, reply := node.target.serve(context.Background(), call, request)
 		is.Equal(reply.Outcome, want)
--- a/internal/sdsidecar/target.go
+++ b/internal/sdsidecar/target.go
@@ -177,7 +177,7 @@
 // serve runs a call on the target as soon as the queue admits it.
 func (s *targetServer) serve(ctx context.Context, call sdpeerheader.Call, request *sdhttp.Request) (*sdhttp.Response, sdpeerheader.Reply) {
 	deadline := request.ReceivedAt.Add(call.Remaining)
-	if s.node.isBlocked(call.Service, request) {
+	if s.node.isBlocked(call, request) {
 		return s.notRun(reasonPoison)
 	}
 	if call.Depth == 0 && s.node.callOutlastsStop(deadline) {
@@ -339,14 +339,14 @@
 	if err != nil {
 		reply := s.failureReply(ctx, err)
 		if reply.Outcome == sdpeerheader.OutcomeUnknown && reply.Reason == reasonBroken {
-			s.node.handleBrokenRun(call.Service, request, time.Since(sentAt))
+			s.node.handleBrokenRun(call, request, time.Since(sentAt))
 		}
 		return nil, reply
 	}
 	answer, reply := s.answerReply(response)
 	switch reply.Outcome {
 	case sdpeerheader.OutcomeRan:
-		s.node.recordAnsweredRun(call.Service, request)
+		s.node.recordAnsweredRun(call, request)
 	case sdpeerheader.OutcomeNotRun:
 		s.refused.add(id)
 	case sdpeerheader.OutcomeUnknown:
