--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -39,17 +39,10 @@
 	events   []event
 	changed  chan struct{}
 	delay    time.Duration // time of one answer
-	factor   float64       // of delay, above 1 while the store is slow
 }
 
 func newStore() *store {
-	return &store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), delay: 4 * time.Millisecond, factor: 1}
-}
-
-func (s *store) setSlow(factor float64) {
-	s.mu.Lock()
-	s.factor = factor
-	s.mu.Unlock()
+	return &store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), delay: 4 * time.Millisecond}
 }
 
 // write stores an object; the caller holds mu.
@@ -91,10 +84,7 @@
 }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	wait := time.Duration(float64(s.delay) * s.factor)
-	s.mu.Unlock()
-	time.Sleep(wait)
+	time.Sleep(s.delay)
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	kind, name := parts[0], ""
 	if len(parts) > 1 {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -45,18 +45,17 @@
 
 // world is a small deployment: a store, machines with a node and an upstream each, clients.
 type world struct {
-	node       string // path of the node's program
-	store      *store
-	storeAddr  string
-	machines   []*machine
-	bounds     map[string]any
-	mu         sync.Mutex
-	runs       []run
-	record     *os.File
-	startedAt  time.Time
-	subnet     string
-	logs       *os.File
-	restartGap time.Duration
+	node      string // path of the node's program
+	store     *store
+	storeAddr string
+	machines  []*machine
+	bounds    map[string]any
+	mu        sync.Mutex
+	runs      []run
+	record    *os.File
+	startedAt time.Time
+	subnet    string
+	logs      *os.File
 }
 
 // machine is a machine of the class sidecar.
@@ -80,7 +79,7 @@
 	var err error
 	folder, err = os.MkdirTemp("", "review")
 	check(err)
-	w := &world{node: os.Args[2], store: newStore(), startedAt: time.Now(), restartGap: 300 * time.Millisecond}
+	w := &world{node: os.Args[2], store: newStore(), startedAt: time.Now()}
 	w.record, err = os.Create(record)
 	check(err)
 	w.logs, err = os.Create(filepath.Join(folder, "nodes.log"))
